--- /dev/null
+++ b/crates/constants/src/lib.rs
@@ -0,0 +1,150 @@
+//! All tunable numbers of vetchmount, each with unit and reason.
+//!
+//! Nothing here describes a particular deployment: what depends on one is derived from its settings.
+
+/// Bytes. The protocol's limit for a request body, and for what we answer users and workers.
+pub const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Bytes. A request line with headers; ours and our callers' stay far below.
+pub const MAX_HEADER_BYTES: usize = 8 * 1024;
+/// Bytes. Largest reply read from the state service or the cloud; watches have no size limit of their own.
+pub const MAX_REPLY_BYTES: usize = 4 * 1024 * 1024;
+/// Bytes. Largest frame between controllers: a forwarded request with its envelope.
+pub const MAX_FRAME_BYTES: usize = MAX_BODY_BYTES + 4096;
+/// Version of the frames between controllers; a peer of another version is not listened to.
+pub const PEER_VERSION: u8 = 1;
+
+/// Milliseconds. Life of the leader's lease: long enough for a starved process to renew it three times, short
+/// enough that a crashed leader is replaced within a few seconds.
+pub const LEADER_LEASE_MS: u64 = 3_000;
+/// Milliseconds between renewals of the leader's lease.
+pub const LEADER_RENEW_MS: u64 = 800;
+/// Milliseconds between a follower's looks at the leader key; bounds how late a vacancy is noticed.
+pub const LEADER_POLL_MS: u64 = 600;
+/// Milliseconds. Spread of the first try at a vacancy, so that two followers seldom collide.
+pub const ELECTION_JITTER_MS: u64 = 250;
+/// Milliseconds after which a candidate gives an attempt up and starts afresh.
+pub const ELECTION_STALE_MS: u64 = 4_000;
+/// Milliseconds a leader that gave up its place leaves the election to others.
+pub const RESIGN_PAUSE_MS: u64 = 20_000;
+
+/// Milliseconds to wait for the state service before the outcome counts as unknown; it answers within a few
+/// hundred at worst, and users wait 2 s for a poll.
+pub const STATE_TIMEOUT_MS: u64 = 1_200;
+/// Milliseconds a watch is held open by the state service.
+pub const WATCH_HOLD_MS: u64 = 10_000;
+/// Milliseconds to wait after an answer of 429 or 503 before asking the state service again.
+pub const STATE_RETRY_MS: u64 = 250;
+/// Milliseconds without any good answer, the last one bad, after which users are refused at once.
+pub const STATE_DOWN_MS: u64 = 1_500;
+/// Share of the state service's request rate one node may use at most; nodes share the limit.
+pub const STATE_RPS_SHARE: f64 = 0.6;
+/// Share of the state service's write rate that bookkeeping may use, the rest being for users.
+pub const STATE_WRITE_SHARE: f64 = 0.6;
+/// Share of the state service's write rate one node may spend on its users.
+pub const USER_WRITE_SHARE: f64 = 0.3;
+/// Records of a listing asked for at a time; each page has to be decoded in one go.
+pub const LIST_PAGE: u32 = 200;
+/// Tasks whose places and results share one record: some 6 KiB at worst, well within a value.
+pub const CHUNK_TASKS: u32 = 128;
+/// Bytes (a cautious guess of their JSON form) of records put in one transaction, of the 64 KiB allowed.
+pub const TXN_BYTES: usize = 40 * 1024;
+/// Transactions of bookkeeping on their way at a time.
+pub const TXN_PARALLEL: usize = 3;
+
+/// Milliseconds after which a user's request that is still undecided is answered 503; users wait 2 s to 5 s.
+pub const USER_DEADLINE_MS: u64 = 1_800;
+/// Seconds a refused user is told to wait.
+pub const RETRY_AFTER_S: u32 = 1;
+/// Requests of users in hand at a time; more are refused at once.
+pub const USER_INFLIGHT: usize = 256;
+/// Final answers kept in memory (an id and a letter each).
+pub const FINAL_CACHE: usize = 20_000;
+
+/// Milliseconds a worker waits for the answer to a report; a `launch` sent longer ago is dropped by it.
+pub const REPORT_DROP_MS: u64 = 4_000;
+/// Factor for the drift between two steady clocks (0.05% each way, doubled for caution).
+pub const DRIFT: f64 = 1.002;
+/// Milliseconds added to every wait for a lease of another machine to run out.
+pub const LEASE_MARGIN_MS: u64 = 1_000;
+/// Orders in one answer to a worker: 400 of at most 120 bytes stay under the body limit.
+pub const ORDERS_PER_ANSWER: usize = 400;
+/// Milliseconds subtracted when a leader without the state service reckons how long it may keep leases alive.
+pub const KEEPALIVE_MARGIN_MS: u64 = 5_000;
+/// Milliseconds to wait for a worker's answer to a direct order.
+pub const ORDERS_TIMEOUT_MS: u64 = 2_000;
+/// Milliseconds between repeats of a `kill` for the same task.
+pub const KILL_REPEAT_MS: u64 = 1_000;
+
+/// Milliseconds of real time one round of decisions may take; the next goes on where it stopped.
+pub const ROUND_BUDGET_MS: u64 = 20;
+/// Milliseconds between two rounds of decisions.
+pub const ROUND_EVERY_MS: u64 = 150;
+/// Milliseconds between steps of housekeeping (silent machines, fleet size).
+pub const HOUSEKEEPING_MS: u64 = 500;
+
+/// Tasks up to which an array is thin and skips sampling (the paper's bypass; value from the design).
+pub const THIN_TASKS: u32 = 7;
+/// Share of an array's tasks that are pilots (the paper's 5%).
+pub const PILOT_SHARE: f64 = 0.05;
+/// Number of queues (the paper's 10).
+pub const QUEUES: usize = 10;
+/// Task-seconds up to which a job is in the first queue (the paper's 10 MB; value from the design).
+pub const FIRST_BOUND: f64 = 600.0;
+/// Growth of the queues' bounds and fall of their weights (the paper's 10).
+pub const QUEUE_GROWTH: f64 = 10.0;
+
+/// Milliseconds of pause after a job's first failed task, doubled by each further one.
+pub const ERROR_PAUSE_MS: u64 = 2_000;
+/// Milliseconds a job that goes on failing is left alone at most.
+pub const ERROR_PAUSE_MAX_MS: u64 = 60_000;
+/// Jobs that must have failed on a machine, with none completing there since, before it is replaced.
+pub const FAULTY_JOBS: usize = 2;
+/// Factor by which a machine's tasks must run over those elsewhere to be called slow.
+pub const SLOW_FACTOR: f64 = 1.6;
+
+/// Seconds between two looks at the machine list.
+pub const CLOUD_LIST_S: f64 = 5.0;
+/// Seconds between two looks at the machine types once they are known (spot prices move).
+pub const CLOUD_TYPES_S: f64 = 60.0;
+/// Milliseconds to wait for the cloud.
+pub const CLOUD_TIMEOUT_MS: u64 = 5_000;
+/// Machines per rental request (the protocol's limit).
+pub const RENT_MAX: u32 = 50;
+/// Machines per return request (the protocol's limit).
+pub const RETURN_MAX: usize = 100;
+/// Milliseconds a type, zone and kind that had no capacity is left alone, doubled by each further refusal.
+pub const NO_CAPACITY_MS: u64 = 5_000;
+/// Milliseconds such a pause grows to at most.
+pub const NO_CAPACITY_MAX_MS: u64 = 20_000;
+/// Factor of a type's boot time after which a machine that has not come up is given back.
+pub const BOOT_PATIENCE: f64 = 3.0;
+/// Seconds added to that.
+pub const BOOT_PATIENCE_S: f64 = 15.0;
+/// Seconds a machine idles before it is given back where money counts; it is charged 60 s at least.
+pub const IDLE_RETURN_S: f64 = 25.0;
+
+/// Milliseconds between beats to each peer.
+pub const PEER_BEAT_MS: u64 = 500;
+/// Milliseconds after which a peer's last beat says nothing about now.
+pub const PEER_FRESH_MS: u64 = 2_000;
+/// Milliseconds between tries to reach a peer.
+pub const PEER_RETRY_MS: u64 = 1_000;
+/// Bytes waiting to be sent to a peer at most; more closes the connection.
+pub const PEER_BACKLOG: usize = 1024 * 1024;
+
+/// Connections to one address at a time; the state service needs most.
+pub const CLIENT_CONNS: usize = 12;
+/// Requests waiting for a connection to one address; more fail at once.
+pub const CLIENT_QUEUE: usize = 128;
+/// Milliseconds to establish a connection.
+pub const CONNECT_TIMEOUT_MS: u64 = 1_000;
+/// Share of the sockets allowed that callers may hold; the rest is for our own calls and peers.
+pub const SERVER_SOCKET_SHARE: f64 = 0.8;
+/// Milliseconds an idle connection of a caller is kept when sockets run short.
+pub const IDLE_CONN_MS: u64 = 10_000;
+/// Milliseconds an idle connection of our own is kept for reuse.
+pub const IDLE_CLIENT_MS: u64 = 20_000;
+/// Bytes read from a socket at a time.
+pub const READ_CHUNK: usize = 16 * 1024;
+/// Milliseconds a turn of the main loop sleeps at most.
+pub const LOOP_MAX_MS: u64 = 1_000;
--- /dev/null
+++ b/crates/control/src/election.rs
@@ -0,0 +1,358 @@
+//! Who leads: a key under a lease, and a term that only grows, raised in the same guarded transaction.
+
+use crate::mail::{Mail, News, StateTag};
+use crate::state::{Priority, StateOp, StateReply};
+use constants::*;
+use wire::records::{LeaderRecord, TermRecord, LEADER, TERM};
+use wire::state::{Guard, Item, Txn, Write};
+
+/// Where in the election a reply belongs. The number tells attempts (or terms) apart.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Step {
+    Poll(u64),
+    Term(u64),
+    Grant(u64),
+    Run(u64),
+    /// Renewal in this term, sent at this moment.
+    Renew(u64, u64),
+    Quit,
+}
+
+enum Role {
+    Follower,
+    /// Running for leader: the lease and the term aimed at.
+    Candidate {
+        lead_version: u64,
+        term: u64,
+        term_version: u64,
+        lease: Option<u64>,
+        since: u64,
+    },
+    Leader {
+        term: u64,
+        lease: u64,
+        /// Sent-time of the last renewal that succeeded.
+        renewed: u64,
+    },
+}
+
+pub(crate) struct Election {
+    label: String,
+    boot: u64,
+    role: Role,
+    /// Number of the attempt or term the open replies must carry.
+    round: u64,
+    next_at: u64,
+    busy_until: u64,
+    paused_until: u64,
+    known: Option<(LeaderRecord, u64)>,
+    highest_term: u64,
+    rng: fastrand::Rng,
+}
+
+impl Election {
+    pub fn new(label: &str, boot: u64) -> Self {
+        Election {
+            label: label.to_string(),
+            boot,
+            role: Role::Follower,
+            round: 0,
+            next_at: 0,
+            busy_until: 0,
+            paused_until: 0,
+            known: None,
+            highest_term: 0,
+            rng: fastrand::Rng::with_seed(boot),
+        }
+    }
+
+    /// Term, if this node leads (perhaps without knowing that it no longer does).
+    pub fn leads(&self) -> Option<u64> {
+        match self.role {
+            Role::Leader { term, .. } => Some(term),
+            _ => None,
+        }
+    }
+
+    /// Whether the lease was certainly alive a moment ago, by our own clock.
+    pub fn lease_holds(&self, now: u64) -> bool {
+        matches!(self.role, Role::Leader { renewed, .. } if now < renewed + LEADER_LEASE_MS - 300)
+    }
+
+    pub fn highest_term(&self) -> u64 {
+        self.highest_term
+    }
+
+    /// Label of the leader, if it was seen lately.
+    pub fn leader_label(&self, now: u64) -> Option<&str> {
+        if self.leads().is_some() {
+            return Some(&self.label);
+        }
+        self.known
+            .as_ref()
+            .filter(|(_, at)| now < at + LEADER_LEASE_MS)
+            .map(|(r, _)| r.node.as_str())
+    }
+
+    /// A peer knows of a term.
+    pub fn heard_term(&mut self, term: u64, mail: &mut Mail) {
+        self.highest_term = self.highest_term.max(term);
+        if let Role::Leader { term: mine, .. } = self.role {
+            if term > mine {
+                self.step_down("a peer knows a newer term", mail);
+            }
+        }
+    }
+
+    /// Gives leadership up for a while, for a reason the others don't share.
+    pub fn resign(&mut self, why: &'static str, mail: &mut Mail) {
+        if let Role::Leader { lease, .. } = self.role {
+            mail.state.push((
+                Priority::Leadership,
+                StateOp::Revoke(lease),
+                StateTag::Election(Step::Quit),
+            ));
+            self.paused_until = mail.now.mono + RESIGN_PAUSE_MS;
+            self.step_down(why, mail);
+        }
+    }
+
+    fn step_down(&mut self, why: &'static str, mail: &mut Mail) {
+        self.role = Role::Follower;
+        self.round += 1;
+        self.busy_until = 0;
+        self.known = None;
+        self.next_at = mail.now.mono + LEADER_POLL_MS;
+        mail.news.push(News::Deposed(why));
+    }
+
+    /// The books found the leader key gone or changed.
+    pub fn fenced(&mut self, mail: &mut Mail) {
+        if self.leads().is_some() {
+            self.step_down("the leader key is not ours any more", mail);
+        }
+    }
+
+    pub fn next_wake(&self) -> u64 {
+        self.next_at.max(self.busy_until)
+    }
+
+    fn ask(&mut self, op: StateOp, step: Step, mail: &mut Mail) {
+        self.busy_until = mail.now.mono + 3 * STATE_TIMEOUT_MS;
+        mail.state
+            .push((Priority::Leadership, op, StateTag::Election(step)));
+    }
+
+    pub fn tick(&mut self, mail: &mut Mail) {
+        let now = mail.now.mono;
+        if now < self.next_at || now < self.busy_until {
+            return;
+        }
+        match &self.role {
+            Role::Leader { term, lease, .. } => {
+                let (term, lease) = (*term, *lease);
+                self.next_at = now + LEADER_RENEW_MS;
+                self.ask(StateOp::Renew(lease), Step::Renew(term, now), mail);
+                self.busy_until = now + LEADER_RENEW_MS;
+            }
+            _ => {
+                self.round += 1;
+                self.next_at = now + LEADER_POLL_MS;
+                let round = self.round;
+                self.ask(StateOp::Get(LEADER.into()), Step::Poll(round), mail);
+            }
+        }
+    }
+
+    fn again(&mut self, mail: &Mail) {
+        self.busy_until = 0;
+        self.next_at = mail.now.mono + LEADER_POLL_MS / 2 + self.rng.u64(..ELECTION_JITTER_MS);
+    }
+
+    pub fn on_reply(&mut self, step: Step, reply: StateReply, mail: &mut Mail) {
+        match step {
+            Step::Quit => {}
+            Step::Renew(term, sent) => self.on_renewal(term, sent, &reply, mail),
+            Step::Poll(r) | Step::Term(r) | Step::Grant(r) | Step::Run(r) if r != self.round => {}
+            Step::Poll(_) => self.on_poll(reply, mail),
+            Step::Term(_) => self.on_term(reply, mail),
+            Step::Grant(_) => self.on_grant(reply, mail),
+            Step::Run(_) => self.on_run(reply, mail),
+        }
+    }
+
+    fn on_renewal(&mut self, of: u64, sent: u64, reply: &StateReply, mail: &mut Mail) {
+        let Role::Leader { term, renewed, .. } = &mut self.role else {
+            return;
+        };
+        if *term != of {
+            return;
+        }
+        match reply {
+            StateReply::Renewed => *renewed = (*renewed).max(sent),
+            StateReply::NoLease => self.step_down("the lease ran out", mail),
+            _ => {}
+        }
+    }
+
+    fn on_poll(&mut self, reply: StateReply, mail: &mut Mail) {
+        self.busy_until = 0;
+        let now = mail.now.mono;
+        match reply {
+            StateReply::Item(item) => {
+                let Ok(record) = item.value.deserialized::<LeaderRecord>() else {
+                    log::error!("event=leader_record_unreadable version={}", item.version);
+                    return;
+                };
+                self.highest_term = self.highest_term.max(record.term);
+                if record.node != self.label {
+                    self.role = Role::Follower;
+                    self.known = Some((record, now));
+                } else if record.boot == self.boot {
+                    self.found_ourselves(record, &item, mail);
+                } else if now >= self.paused_until {
+                    // Our own earlier process, which is gone: nobody needs to wait for its lease.
+                    self.stand(item.version, mail);
+                }
+            }
+            StateReply::Missing if now >= self.paused_until => {
+                self.known = None;
+                self.stand(0, mail);
+            }
+            StateReply::Missing => self.known = None,
+            _ => {}
+        }
+    }
+
+    /// The answer to our candidacy was lost, but it succeeded.
+    fn found_ourselves(&mut self, record: LeaderRecord, item: &Item, mail: &mut Mail) {
+        let lease = match self.role {
+            Role::Candidate {
+                lease: Some(lease),
+                term,
+                ..
+            } if term == record.term => Some(lease),
+            _ => None,
+        };
+        match lease {
+            Some(lease) => self.win(record.term, lease, item.version, mail),
+            None => self.stand(item.version, mail),
+        }
+    }
+
+    fn stand(&mut self, lead_version: u64, mail: &mut Mail) {
+        self.role = Role::Candidate {
+            lead_version,
+            term: 0,
+            term_version: 0,
+            lease: None,
+            since: mail.now.mono,
+        };
+        let round = self.round;
+        self.ask(StateOp::Get(TERM.into()), Step::Term(round), mail);
+    }
+
+    fn on_term(&mut self, reply: StateReply, mail: &mut Mail) {
+        let (last, version) = match reply {
+            StateReply::Item(item) => match item.value.deserialized::<TermRecord>() {
+                Ok(record) => (record.term, item.version),
+                Err(_) => {
+                    log::error!("event=term_record_unreadable version={}", item.version);
+                    return self.again(mail);
+                }
+            },
+            StateReply::Missing => (0, 0),
+            _ => return self.again(mail),
+        };
+        let next = last.max(self.highest_term) + 1;
+        if let Role::Candidate {
+            term, term_version, ..
+        } = &mut self.role
+        {
+            (*term, *term_version) = (next, version);
+            let round = self.round;
+            let ttl_ms = LEADER_LEASE_MS;
+            self.ask(StateOp::Grant { ttl_ms }, Step::Grant(round), mail);
+        }
+    }
+
+    fn on_grant(&mut self, reply: StateReply, mail: &mut Mail) {
+        let StateReply::Granted(id) = reply else {
+            return self.again(mail);
+        };
+        let Role::Candidate {
+            lead_version,
+            term,
+            term_version,
+            lease,
+            since,
+        } = &mut self.role
+        else {
+            return;
+        };
+        if mail.now.mono > *since + ELECTION_STALE_MS {
+            return self.again(mail);
+        }
+        *lease = Some(id);
+        let record = LeaderRecord {
+            node: self.label.clone(),
+            term: *term,
+            boot: self.boot,
+        };
+        let txn = Txn {
+            guards: vec![
+                Guard::new(LEADER, *lead_version),
+                Guard::new(TERM, *term_version),
+            ],
+            writes: vec![
+                Write::Put {
+                    key: LEADER.into(),
+                    value: wire::state::to_value(&record),
+                    lease: Some(id),
+                },
+                Write::put(TERM, &TermRecord { term: *term }),
+            ],
+        };
+        *since = mail.now.mono;
+        let round = self.round;
+        self.ask(StateOp::Txn(txn), Step::Run(round), mail);
+    }
+
+    fn on_run(&mut self, reply: StateReply, mail: &mut Mail) {
+        let Role::Candidate {
+            term,
+            lease: Some(lease),
+            ..
+        } = self.role
+        else {
+            return;
+        };
+        match reply {
+            StateReply::Committed { version } => self.win(term, lease, version, mail),
+            StateReply::Unknown => {
+                // The role is kept: the next poll may find that we were elected.
+                self.again(mail);
+            }
+            _ => {
+                self.role = Role::Follower;
+                self.again(mail);
+            }
+        }
+    }
+
+    fn win(&mut self, term: u64, lease: u64, version: u64, mail: &mut Mail) {
+        // The lease may have been granted a while ago: it counts as fresh only once it is renewed.
+        self.role = Role::Leader {
+            term,
+            lease,
+            renewed: 0,
+        };
+        self.highest_term = term;
+        self.known = None;
+        self.round += 1;
+        self.busy_until = 0;
+        self.next_at = mail.now.mono;
+        mail.news.push(News::Elected { term, version });
+        self.tick(mail);
+    }
+}
--- /dev/null
+++ b/crates/control/src/gateway.rs
@@ -0,0 +1,387 @@
+//! Users: submissions, polls and cancellations, each decided against the state service, never against a cache
+//! unless the answer is final.
+
+use crate::mail::{Mail, News, RequestId, StateTag};
+use crate::settings::Team;
+use crate::state::{Priority, StateOp, StateReply};
+use constants::*;
+use std::collections::HashMap;
+use wire::cloud::MachineType;
+use wire::records::{final_key, job_key, Final, JobRecord};
+use wire::state::{Guard, Txn, Write};
+use wire::users::*;
+
+/// What a user wants, and how far it has come.
+enum Want {
+    /// Record a job; the refusal is for ids that turn out to be unknown.
+    Submit {
+        refusal: Option<(u16, String)>,
+        spec: Option<Box<Submission>>,
+    },
+    Status,
+    Abort,
+}
+
+#[derive(PartialEq)]
+enum Stage {
+    /// A creating transaction is on its way.
+    Creating,
+    /// Looking at the open record.
+    Open,
+    /// Looking at the final record.
+    Final,
+    /// A cancelling transaction is on its way.
+    Aborting,
+}
+
+struct Ticket {
+    request: RequestId,
+    id: String,
+    want: Want,
+    stage: Stage,
+    since: u64,
+}
+
+/// Tasks (done, running) of a job, for display.
+pub(crate) type Counts = HashMap<String, (u32, u32)>;
+
+pub(crate) struct Gateway {
+    teams: Vec<Team>,
+    types: Option<Vec<MachineType>>,
+    tickets: HashMap<u64, Ticket>,
+    next: u64,
+    finals: HashMap<String, Final>,
+    /// Two generations, so that the cache stays bounded without keeping an order.
+    old_finals: HashMap<String, Final>,
+    pub counts: Counts,
+}
+
+impl Gateway {
+    pub fn new(teams: Vec<Team>) -> Self {
+        Gateway {
+            teams,
+            types: None,
+            tickets: HashMap::new(),
+            next: 0,
+            finals: HashMap::new(),
+            old_finals: HashMap::new(),
+            counts: Counts::new(),
+        }
+    }
+
+    pub fn set_types(&mut self, types: Vec<MachineType>) {
+        self.types = Some(types);
+    }
+
+    pub fn knows_types(&self) -> bool {
+        self.types.is_some()
+    }
+
+    pub fn remember_final(&mut self, id: String, end: Final) {
+        self.counts.remove(&id);
+        if self.finals.len() >= FINAL_CACHE / 2 {
+            self.old_finals = std::mem::take(&mut self.finals);
+        }
+        self.finals.insert(id, end);
+    }
+
+    fn known_final(&self, id: &str) -> Option<Final> {
+        self.finals
+            .get(id)
+            .or_else(|| self.old_finals.get(id))
+            .copied()
+    }
+
+    /// A request of a user; `up` tells whether the state service answers.
+    pub fn on_request(
+        &mut self,
+        request: RequestId,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        up: bool,
+        mail: &mut Mail,
+    ) {
+        let rest = path.strip_prefix("/submissions").unwrap_or_default();
+        let (want, id) = match (method, rest) {
+            ("POST", "") => match self.read_submission(body) {
+                Ok(read) => read,
+                Err(why) => return mail.refuse(request, 400, &why),
+            },
+            (_, "") => return mail.refuse(request, 405, "method not allowed"),
+            _ => {
+                let name = rest.strip_prefix('/').unwrap_or_default();
+                let (name, abort) = match name.strip_suffix("/abort") {
+                    Some(name) => (name, true),
+                    None => (name, false),
+                };
+                match (method, abort) {
+                    ("GET", false) => (Want::Status, name.to_string()),
+                    ("POST", true) => (Want::Abort, name.to_string()),
+                    _ => return mail.refuse(request, 405, "method not allowed"),
+                }
+            }
+        };
+        if !is_job_id(&id) {
+            return mail.refuse(request, 404, "no such job");
+        }
+        if let Some(end) = self.known_final(&id) {
+            return self.answer_final(request, &id, end, mail);
+        }
+        if !up {
+            return mail.refuse(request, 503, "the state service does not answer");
+        }
+        if self.tickets.len() >= USER_INFLIGHT {
+            return mail.refuse(request, 503, "too many requests in hand");
+        }
+        self.next += 1;
+        let create = matches!(&want, Want::Submit { refusal: None, .. });
+        let stage = if create { Stage::Creating } else { Stage::Open };
+        let since = mail.now.mono;
+        let ticket = Ticket {
+            request,
+            id,
+            want,
+            stage,
+            since,
+        };
+        self.tickets.insert(self.next, ticket);
+        self.send(self.next, mail);
+    }
+
+    fn read_submission(&self, body: &[u8]) -> Result<(Want, String), String> {
+        let spec: Result<Submission, _> = wire::decode(body);
+        let (refusal, id, spec) = match spec {
+            Err(why) => {
+                let just: JustId = wire::decode(body).map_err(|_| why.to_string())?;
+                (Some((400, why.to_string())), just.id, None)
+            }
+            Ok(spec) => {
+                let refusal = match spec.invalid_field() {
+                    Some(field) => Some((400, format!("{field}: invalid"))),
+                    None => self.never_runs(&spec),
+                };
+                (refusal, spec.id.clone(), Some(Box::new(spec)))
+            }
+        };
+        if !is_job_id(&id) {
+            return Err("id: invalid".into());
+        }
+        Ok((Want::Submit { refusal, spec }, id))
+    }
+
+    /// Why a job could never run, or that this can't be said yet.
+    fn never_runs(&self, spec: &Submission) -> Option<(u16, String)> {
+        let Some(team) = self.teams.iter().find(|t| t.name == spec.team) else {
+            return Some((422, format!("tenant: no team {:?}", spec.team)));
+        };
+        let n = if spec.shape == Shape::Gang {
+            spec.tasks as f64
+        } else {
+            1.0
+        };
+        let over = |max: f64, need: f64| max > 0.0 && need * n > max + 1e-6;
+        if over(team.cpus_max, spec.cpus) || over(team.gpus_max, spec.gpus) {
+            return Some((422, "needs more than the team's limit".into()));
+        }
+        let Some(types) = &self.types else {
+            return Some((503, "machine types are not known yet".into()));
+        };
+        let fits = types.iter().any(|t| {
+            spec.types
+                .as_ref()
+                .is_none_or(|names| names.contains(&t.name))
+                && spec
+                    .zone
+                    .as_ref()
+                    .is_none_or(|z| t.zones.is_empty() || t.zones.contains(z))
+                && spec.cpus <= t.cpus + 1e-6
+                && spec.gpus <= t.gpus + 1e-6
+                && spec.mem_gb <= t.mem_gb + 1e-6
+        });
+        (!fits).then(|| (422, "a task fits no allowed machine type".into()))
+    }
+
+    /// Sends the request that the ticket's stage needs.
+    fn send(&mut self, number: u64, mail: &mut Mail) {
+        let Some(ticket) = self.tickets.get(&number) else {
+            return;
+        };
+        let op = match (&ticket.stage, &ticket.want) {
+            (Stage::Creating, Want::Submit { spec: Some(s), .. }) => {
+                let record = JobRecord {
+                    spec: (**s).clone(),
+                    at: mail.now.unix,
+                    aborted: false,
+                };
+                StateOp::Txn(Txn {
+                    guards: vec![
+                        Guard::new(job_key(&ticket.id), 0),
+                        Guard::new(final_key(&ticket.id), 0),
+                    ],
+                    writes: vec![Write::put(job_key(&ticket.id), &record)],
+                })
+            }
+            (Stage::Final, _) => StateOp::Get(final_key(&ticket.id)),
+            _ => StateOp::Get(job_key(&ticket.id)),
+        };
+        mail.state
+            .push((Priority::User, op, StateTag::User(number)));
+    }
+
+    fn refuse(&mut self, number: u64, status: u16, why: &str, mail: &mut Mail) {
+        if let Some(ticket) = self.tickets.remove(&number) {
+            mail.refuse(ticket.request, status, why);
+        }
+    }
+
+    fn go(&mut self, number: u64, stage: Stage, mail: &mut Mail) {
+        if let Some(ticket) = self.tickets.get_mut(&number) {
+            ticket.stage = stage;
+        }
+        self.send(number, mail);
+    }
+
+    pub fn on_reply(&mut self, number: u64, reply: StateReply, mail: &mut Mail) {
+        let Some(ticket) = self.tickets.get(&number) else {
+            return;
+        };
+        let late = mail.now.mono > ticket.since + USER_DEADLINE_MS;
+        match (&ticket.stage, reply) {
+            (Stage::Creating, StateReply::Committed { .. }) => {
+                if let Some(t) = self.tickets.remove(&number) {
+                    log::info!("event=job_accepted job={}", t.id);
+                    mail.respond(t.request, 201, status_body(&t.id, Phase::Queued, None));
+                }
+            }
+            (Stage::Aborting, StateReply::Committed { .. }) => {
+                if let Some(t) = self.tickets.remove(&number) {
+                    log::info!("event=job_aborted job={}", t.id);
+                    mail.respond(t.request, 200, status_body(&t.id, Phase::Aborted, None));
+                }
+            }
+            (_, StateReply::Refused) => {
+                self.refuse(number, 503, "the state service refuses", mail);
+            }
+            (_, StateReply::Invalid) => {
+                log::error!("event=user_request_invalid job={}", ticket.id);
+                self.refuse(number, 503, "the state service can't take this", mail);
+            }
+            _ if late => self.refuse(number, 503, "not decided in time", mail),
+            // Unknown outcome or a conflict: what is recorded decides.
+            (Stage::Creating | Stage::Aborting, _) => self.go(number, Stage::Open, mail),
+            (Stage::Open, StateReply::Item(item)) => match item.value.deserialized::<JobRecord>() {
+                Ok(record) => self.found_open(number, record, item.version, mail),
+                Err(_) => self.refuse(number, 503, "unreadable record", mail),
+            },
+            (Stage::Open, StateReply::Missing) => self.go(number, Stage::Final, mail),
+            (Stage::Final, StateReply::Item(item)) => match item.value.deserialized::<Final>() {
+                Ok(end) => {
+                    if let Some(t) = self.tickets.remove(&number) {
+                        self.answer_final(t.request, &t.id, end, mail);
+                        self.remember_final(t.id, end);
+                    }
+                }
+                Err(_) => self.refuse(number, 503, "unreadable record", mail),
+            },
+            (Stage::Final, StateReply::Missing) => self.found_nothing(number, mail),
+            _ => self.refuse(number, 503, "the state service does not answer", mail),
+        }
+    }
+
+    fn found_open(&mut self, number: u64, record: JobRecord, version: u64, mail: &mut Mail) {
+        let Some(ticket) = self.tickets.get_mut(&number) else {
+            return;
+        };
+        if let (Want::Abort, false) = (&ticket.want, record.aborted) {
+            ticket.stage = Stage::Aborting;
+            let record = JobRecord {
+                aborted: true,
+                ..record
+            };
+            let key = job_key(&ticket.id);
+            let txn = Txn {
+                guards: vec![Guard::new(key.clone(), version)],
+                writes: vec![Write::put(key, &record)],
+            };
+            let tag = StateTag::User(number);
+            mail.state.push((Priority::User, StateOp::Txn(txn), tag));
+            return;
+        }
+        let Some(t) = self.tickets.remove(&number) else {
+            return;
+        };
+        let counts = self.counts.get(&t.id).copied().unwrap_or_default();
+        let (phase, counts) = match (record.aborted, counts.1 > 0) {
+            (true, _) => (Phase::Aborted, None),
+            (false, true) => (Phase::Running, Some(counts)),
+            (false, false) => (Phase::Queued, Some(counts)),
+        };
+        mail.respond(t.request, 200, status_body(&t.id, phase, counts));
+    }
+
+    fn found_nothing(&mut self, number: u64, mail: &mut Mail) {
+        let Some(ticket) = self.tickets.get(&number) else {
+            return;
+        };
+        match &ticket.want {
+            Want::Submit {
+                refusal: Some((status, why)),
+                ..
+            } => {
+                let (status, why) = (*status, why.clone());
+                log::info!(
+                    "event=job_refused job={} status={status} why={why:?}",
+                    ticket.id
+                );
+                self.refuse(number, status, &why, mail);
+            }
+            // The creation may still be on its way; a retry finds out.
+            Want::Submit { .. } => self.refuse(number, 503, "not recorded yet", mail),
+            _ => self.refuse(number, 404, "no such job", mail),
+        }
+    }
+
+    fn answer_final(&self, request: RequestId, id: &str, end: Final, mail: &mut Mail) {
+        let phase = match end {
+            Final::Done => Phase::Done,
+            Final::Aborted => Phase::Aborted,
+        };
+        mail.respond(request, 200, status_body(id, phase, None));
+    }
+
+    /// Answers what has been undecided for too long.
+    pub fn tick(&mut self, mail: &mut Mail) {
+        let now = mail.now.mono;
+        let late: Vec<u64> = self
+            .tickets
+            .iter()
+            .filter(|(_, t)| now > t.since + USER_DEADLINE_MS)
+            .map(|(n, _)| *n)
+            .collect();
+        for number in late {
+            self.refuse(number, 503, "not decided in time", mail);
+        }
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.tickets.is_empty()
+    }
+
+    pub fn on_news(&mut self, news: &News) {
+        match news {
+            News::JobOver(id, end) => self.remember_final(id.clone(), *end),
+            News::Types(types) => self.set_types(types.clone()),
+            _ => {}
+        }
+    }
+}
+
+fn status_body(id: &str, phase: Phase, counts: Option<(u32, u32)>) -> Vec<u8> {
+    wire::encode(&JobStatus {
+        id: id.to_string(),
+        phase,
+        done: counts.map(|c| u64::from(c.0)),
+        running: counts.map(|c| u64::from(c.1)),
+    })
+}
--- /dev/null
+++ b/crates/control/src/leader/books.rs
@@ -0,0 +1,399 @@
+//! What the leader knows of jobs and machines.
+
+use sched::{RangeSet, Res};
+use std::collections::{BTreeMap, BTreeSet};
+use wire::records::*;
+use wire::users::{Shape, Submission};
+use wire::workers::{Report, TaskPhase};
+
+/// How far a place has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// Found in the records: an earlier leader may have started it.
+    Recorded,
+    /// Ours; `launch` is sent once the record is safe.
+    Ready,
+    /// `launch` went out in the answer to this report.
+    Sent { session: u64, seq: u64 },
+    /// The worker has reported it.
+    Seen,
+}
+
+/// A task that is being stopped.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Stop {
+    pub since: u64,
+    pub grace_s: f64,
+    pub why: &'static str,
+}
+
+/// Where a task is or may be.
+#[derive(Debug, Clone)]
+pub(crate) struct Place {
+    pub machine: String,
+    pub attempt: u64,
+    /// Number of the chunk's change that made it.
+    pub seq: u64,
+    pub stage: Stage,
+    pub phase: Option<TaskPhase>,
+    pub running_since: Option<u64>,
+    pub pilot: bool,
+    pub stop: Option<Stop>,
+}
+
+/// A part of a job's tasks, kept in one record.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Chunk {
+    pub version: u64,
+    pub done: RangeSet,
+    pub places: BTreeMap<u32, Place>,
+    pub hi: u64,
+    pub secs: f64,
+    pub timed: u32,
+    /// Number of the last change, and of the last one known to be recorded.
+    pub seq: u64,
+    pub saved: u64,
+    /// What the record held when it was last known, to recognise our own writes.
+    pub written: Option<ChunkRecord>,
+}
+
+impl Chunk {
+    pub fn record(&self) -> ChunkRecord {
+        ChunkRecord {
+            done: self.done.to_string(),
+            at: self
+                .places
+                .iter()
+                .map(|(t, p)| (*t, p.attempt, p.machine.clone()))
+                .collect(),
+            hi: self.hi,
+            secs: self.secs,
+            timed: self.timed,
+        }
+    }
+
+    pub fn dirty(&self) -> bool {
+        self.seq > self.saved
+    }
+}
+
+pub(crate) fn chunk_of(task: u32) -> u32 {
+    task / constants::CHUNK_TASKS
+}
+
+/// A job that is not over.
+#[derive(Debug, Clone)]
+pub(crate) struct Job {
+    pub spec: Submission,
+    pub at: u64,
+    pub version: u64,
+    pub aborted: bool,
+    pub chunks: BTreeMap<u32, Chunk>,
+    /// Tasks that are done or have a place.
+    pub busy: RangeSet,
+    pub done: u64,
+    pub placed: u32,
+    /// Tasks on machines without a record, by (task, machine): not to be started again until they are gone.
+    pub strays: BTreeSet<(u32, String)>,
+    /// A transaction or a re-read of its records is on its way.
+    pub inflight: bool,
+    /// Gang: its present attempt has run, or can't be completed any more.
+    pub started: bool,
+    pub broken: bool,
+    pub fails: u32,
+    pub fail_machines: BTreeSet<String>,
+    pub pause_until: u64,
+    pub first_run: Option<u64>,
+}
+
+impl Job {
+    pub fn new(record: JobRecord, version: u64) -> Self {
+        Job {
+            spec: record.spec,
+            at: record.at,
+            version,
+            aborted: record.aborted,
+            chunks: BTreeMap::new(),
+            busy: RangeSet::default(),
+            done: 0,
+            placed: 0,
+            strays: BTreeSet::new(),
+            inflight: false,
+            started: false,
+            broken: false,
+            fails: 0,
+            fail_machines: BTreeSet::new(),
+            pause_until: 0,
+            first_run: None,
+        }
+    }
+
+    pub fn is_gang(&self) -> bool {
+        self.spec.shape == Shape::Gang
+    }
+
+    pub fn tasks(&self) -> u32 {
+        self.spec.tasks as u32
+    }
+
+    pub fn res(&self) -> Res {
+        Res {
+            cpus: self.spec.cpus,
+            gpus: self.spec.gpus,
+            mem: self.spec.mem_gb,
+        }
+    }
+
+    pub fn place(&self, task: u32) -> Option<&Place> {
+        self.chunks.get(&chunk_of(task))?.places.get(&task)
+    }
+
+    pub fn place_mut(&mut self, task: u32) -> Option<&mut Place> {
+        self.chunks.get_mut(&chunk_of(task))?.places.get_mut(&task)
+    }
+
+    pub fn places(&self) -> impl Iterator<Item = (u32, &Place)> {
+        self.chunks
+            .values()
+            .flat_map(|c| c.places.iter().map(|(t, p)| (*t, p)))
+    }
+
+    /// Whether everything known about a task's chunk is recorded.
+    pub fn is_saved(&self, task: u32) -> bool {
+        self.chunks.get(&chunk_of(task)).is_none_or(|c| !c.dirty())
+    }
+
+    pub fn load_chunk(&mut self, number: u32, record: ChunkRecord, version: u64) {
+        let done = RangeSet::parse(&record.done).unwrap_or_default();
+        for t in done.iter() {
+            self.busy.insert(t);
+        }
+        self.done += done.len();
+        let places: BTreeMap<u32, Place> = record
+            .at
+            .iter()
+            .map(|(task, attempt, machine)| {
+                let place = Place {
+                    machine: machine.clone(),
+                    attempt: *attempt,
+                    seq: 0,
+                    stage: Stage::Recorded,
+                    phase: None,
+                    running_since: None,
+                    pilot: false,
+                    stop: None,
+                };
+                (*task, place)
+            })
+            .collect();
+        self.placed += places.len() as u32;
+        for t in places.keys() {
+            self.busy.insert(*t);
+        }
+        let chunk = Chunk {
+            version,
+            done,
+            places,
+            hi: record.hi,
+            secs: record.secs,
+            timed: record.timed,
+            seq: 0,
+            saved: 0,
+            written: Some(record),
+        };
+        self.chunks.insert(number, chunk);
+    }
+
+    /// Gives a task a place. The caller has checked that it has none.
+    pub fn put(&mut self, task: u32, machine: &str, attempt: u64, pilot: bool) {
+        let chunk = self.chunks.entry(chunk_of(task)).or_default();
+        chunk.seq += 1;
+        chunk.hi = chunk.hi.max(attempt);
+        let place = Place {
+            machine: machine.to_string(),
+            attempt,
+            seq: chunk.seq,
+            stage: Stage::Ready,
+            phase: None,
+            running_since: None,
+            pilot,
+            stop: None,
+        };
+        chunk.places.insert(task, place);
+        self.placed += 1;
+        self.busy.insert(task);
+    }
+
+    /// Takes a task's place away, the task not being done.
+    pub fn vacate(&mut self, task: u32) -> Option<Place> {
+        let chunk = self.chunks.get_mut(&chunk_of(task))?;
+        let place = chunk.places.remove(&task)?;
+        chunk.seq += 1;
+        self.placed -= 1;
+        if !chunk.done.contains(task) {
+            self.busy.remove(task);
+        }
+        if self.placed == 0 {
+            self.started = false;
+            self.broken = false;
+        }
+        Some(place)
+    }
+
+    /// Records a task as done; true if that is new.
+    pub fn complete(&mut self, task: u32, secs: Option<f64>) -> bool {
+        let chunk = self.chunks.entry(chunk_of(task)).or_default();
+        if !chunk.done.insert(task) {
+            return false;
+        }
+        chunk.seq += 1;
+        if let Some(secs) = secs {
+            chunk.secs += secs;
+            chunk.timed += 1;
+        }
+        self.busy.insert(task);
+        self.done += 1;
+        true
+    }
+
+    pub fn all_done(&self) -> bool {
+        self.done >= self.spec.tasks
+    }
+
+    /// Highest attempt given out to any task.
+    pub fn highest_attempt(&self) -> u64 {
+        self.chunks.values().map(|c| c.hi).max().unwrap_or(0)
+    }
+
+    /// Mean run time of timed tasks, and their number.
+    pub fn sample(&self) -> (f64, u32) {
+        let secs: f64 = self.chunks.values().map(|c| c.secs).sum();
+        let timed: u32 = self.chunks.values().map(|c| c.timed).sum();
+        (secs / f64::from(timed.max(1)), timed)
+    }
+
+    /// Whether it is over and may be filed away.
+    pub fn final_due(&self) -> Option<Final> {
+        // A user who was told "cancelled" must never hear "done", even if every task completes meanwhile.
+        if self.aborted {
+            (self.placed == 0 && self.strays.is_empty()).then_some(Final::Aborted)
+        } else {
+            self.all_done().then_some(Final::Done)
+        }
+    }
+}
+
+/// A record that is to be as wanted, with what is known to be in the store.
+#[derive(Debug, Clone)]
+pub(crate) struct Cell<T> {
+    pub want: Option<T>,
+    pub saved: Option<T>,
+    pub version: u64,
+    pub inflight: bool,
+}
+
+impl<T: PartialEq + Clone> Cell<T> {
+    pub fn new(saved: Option<T>, version: u64) -> Self {
+        Cell {
+            want: saved.clone(),
+            saved,
+            version,
+            inflight: false,
+        }
+    }
+
+    pub fn dirty(&self) -> bool {
+        self.want != self.saved
+    }
+}
+
+/// A machine.
+#[derive(Debug, Clone)]
+pub(crate) struct Machine {
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    /// Whether type, zone and kind are known yet.
+    pub known: bool,
+    pub addr: Option<String>,
+    pub record: Cell<MachineRecord>,
+    pub session: u64,
+    pub seq: u64,
+    /// The worker is known to have seen our term.
+    pub token_seen: bool,
+    /// A report with our term has been worked in.
+    pub synced: bool,
+    pub last_report: Option<u64>,
+    pub last_answer: Option<u64>,
+    pub first_known: u64,
+    /// When it is taken away.
+    pub notice_at: Option<u64>,
+    pub draining: Option<&'static str>,
+    pub listed: bool,
+    pub failed: bool,
+    pub missing_lists: u32,
+    pub images: BTreeMap<String, (u64, f64)>,
+    pub places: BTreeSet<(String, u32)>,
+    pub strays: BTreeSet<(String, u32, u64)>,
+    pub failed_jobs: BTreeSet<String>,
+    /// Sum and number of (run time / job's mean) of tasks completed here.
+    pub pace: (f64, u32),
+    pub idle_since: u64,
+    pub return_sent: Option<u64>,
+    /// Report that came before the books were loaded.
+    pub pending: Option<Report>,
+    /// Direct orders are on their way.
+    pub direct_at: u64,
+}
+
+impl Machine {
+    pub fn new(now: u64) -> Self {
+        Machine {
+            kind: String::new(),
+            zone: String::new(),
+            spot: false,
+            known: false,
+            addr: None,
+            record: Cell::new(None, 0),
+            session: 0,
+            seq: 0,
+            token_seen: false,
+            synced: false,
+            last_report: None,
+            last_answer: None,
+            first_known: now,
+            notice_at: None,
+            draining: None,
+            listed: false,
+            failed: false,
+            missing_lists: 0,
+            images: BTreeMap::new(),
+            places: BTreeSet::new(),
+            strays: BTreeSet::new(),
+            failed_jobs: BTreeSet::new(),
+            pace: (0.0, 0),
+            idle_since: now,
+            return_sent: None,
+            pending: None,
+            direct_at: 0,
+        }
+    }
+
+    pub fn describe(&mut self, kind: &str, zone: &str, spot: bool) {
+        if !self.known {
+            self.kind = kind.to_string();
+            self.zone = zone.to_string();
+            self.spot = spot;
+            self.known = true;
+        }
+    }
+
+    pub fn is_slow(&self) -> bool {
+        self.pace.1 >= 2 && self.pace.0 / f64::from(self.pace.1) > constants::SLOW_FACTOR
+    }
+
+    /// Whether it is being given back.
+    pub fn returning(&self) -> bool {
+        self.record.want.as_ref().is_some_and(|r| r.returning)
+    }
+}
--- /dev/null
+++ b/crates/control/src/leader/fleet.rs
@@ -0,0 +1,437 @@
+//! Machines: renting, adopting, giving back. Every rental and return is recorded before it is asked for.
+
+use super::books::*;
+use super::*;
+use sched::{plan_fleet, FleetView, Offer, Res};
+use wire::cloud::{MachinePhase, Rent};
+
+impl Leader {
+    /// Regular look at the fleet.
+    pub(super) fn mind_fleet(&mut self, mail: &mut Mail) {
+        let now = mail.now;
+        if now.mono >= self.next_types {
+            self.next_types = now.mono + (CLOUD_TYPES_S * 1000.0) as u64;
+            self.ask_cloud(CloudOp::Types, CloudAsk::Types, mail);
+        }
+        if now.mono >= self.next_list && self.list_busy.is_none() {
+            self.next_list = now.mono + (CLOUD_LIST_S * 1000.0) as u64;
+            self.list_busy = Some(now.mono);
+            self.list_seen.clear();
+            let op = CloudOp::List {
+                from: String::new(),
+            };
+            self.ask_cloud(op, CloudAsk::List { asked: now.mono }, mail);
+        }
+        self.give_back(mail);
+        self.resend_rentals(mail);
+        self.rent(mail);
+        let lag_ms = (self.settings.deployment.cloud.list_lag_s * 4000.0) as u64 + 60_000;
+        self.gone.retain(|_, at| now.mono < *at + lag_ms);
+        if now.mono >= self.next_summary {
+            self.next_summary = now.mono + 15_000;
+            let up = self.machines.values().filter(|m| m.synced).count();
+            let waiting: u64 = self
+                .jobs
+                .values()
+                .map(|j| j.spec.tasks - j.done - u64::from(j.placed).min(j.spec.tasks - j.done))
+                .sum();
+            let placed: u32 = self.jobs.values().map(|j| j.placed).sum();
+            log::info!(
+                "event=summary machines={} up={up} jobs={} placed={placed} waiting={waiting} rentals={}",
+                self.machines.len(),
+                self.jobs.len(),
+                self.rentals.len()
+            );
+        }
+    }
+
+    fn patience_ms(&self, kind: &str) -> u64 {
+        let boot = self
+            .types
+            .want
+            .iter()
+            .flatten()
+            .find(|t| t.name == kind)
+            .map_or(60.0, |t| t.boot_s);
+        ((boot * BOOT_PATIENCE + BOOT_PATIENCE_S) * 1000.0) as u64
+    }
+
+    /// Decides which machines go back, and sends those whose return is recorded.
+    fn give_back(&mut self, mail: &mut Mail) {
+        let now = mail.now.mono;
+        let w = &self.settings.deployment.workers;
+        let lapse_ms = (w.lease_s * 1000.0 * DRIFT) as u64 + LEASE_MARGIN_MS;
+        let silent_ms = (w.report_s * 2500.0) as u64 + 500;
+        let idle_ms = (self.operator.idle_return_s * 1000.0) as u64;
+        let thrifty = self.settings.thrifty();
+        let up = self.machines.values().filter(|m| m.synced && !m.failed);
+        let (mut all, mut silent) = (0, 0);
+        for m in up {
+            all += 1;
+            silent += usize::from(m.last_report.is_none_or(|at| now > at + silent_ms));
+        }
+        // Many silent at once: more likely the network than the machines, so they get more time.
+        let doubt_ms = if all > 2 && silent * 2 > all {
+            30_000
+        } else {
+            0
+        };
+        let mut returns: Vec<(String, &'static str)> = Vec::new();
+        for (name, m) in &self.machines {
+            if m.returning() {
+                continue;
+            }
+            let empty = m.places.is_empty() && m.strays.is_empty();
+            let heard = m.last_report.unwrap_or(0).max(self.ready_at);
+            let quiet = now.saturating_sub(heard);
+            let why = if m.failed {
+                Some("failed")
+            } else if m.missing_lists >= 2 && quiet > silent_ms {
+                Some("taken")
+            } else if m.last_report.is_none() {
+                let limit = if m.places.is_empty() {
+                    self.patience_ms(&m.kind)
+                } else {
+                    lapse_ms + doubt_ms
+                };
+                (now > m.first_known + limit && quiet > limit).then_some("never came up")
+            } else if quiet > lapse_ms + doubt_ms {
+                Some("silent")
+            } else if empty && m.notice_at.is_some() {
+                Some("under notice and empty")
+            } else if empty && m.failed_jobs.len() >= FAULTY_JOBS {
+                Some("faulty")
+            } else if thrifty && empty && m.synced && now > m.idle_since + idle_ms {
+                Some("idle")
+            } else {
+                None
+            };
+            if let Some(why) = why {
+                returns.push((name.clone(), why));
+            }
+        }
+        for (name, why) in returns {
+            let Some(m) = self.machines.get_mut(&name) else {
+                continue;
+            };
+            log::info!(
+                "event=give_back machine={name} kind={} spot={} places={} why={why:?}",
+                m.kind,
+                m.spot,
+                m.places.len()
+            );
+            m.draining.get_or_insert(why);
+            m.record.want = Some(MachineRecord {
+                kind: m.kind.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                at: mail.now.unix,
+                returning: true,
+            });
+            self.mark(Dirty::Machine(name));
+        }
+        let mut names = Vec::new();
+        for (name, m) in &mut self.machines {
+            let recorded = m.record.saved.as_ref().is_some_and(|r| r.returning);
+            let due = m
+                .return_sent
+                .is_none_or(|at| now > at + 2 * CLOUD_TIMEOUT_MS);
+            if recorded && due && names.len() < RETURN_MAX && !self.gone.contains_key(name) {
+                m.return_sent = Some(now);
+                names.push(name.clone());
+            }
+        }
+        if !names.is_empty() {
+            let op = CloudOp::Return(names.clone());
+            self.ask_cloud(op, CloudAsk::Return(names), mail);
+        }
+    }
+
+    pub(super) fn send_rental(&mut self, name: &str, mail: &mut Mail) {
+        let Some(rental) = self.rentals.get_mut(name) else {
+            return;
+        };
+        let (Some(r), false) = (rental.record.saved.clone(), rental.sent) else {
+            return;
+        };
+        if rental.record.dirty() || mail.now.mono < rental.retry_at {
+            return;
+        }
+        rental.sent = true;
+        let rent = Rent {
+            request: name.to_string(),
+            kind: r.kind,
+            zone: r.zone,
+            spot: r.spot,
+            count: r.count,
+        };
+        self.ask_cloud(CloudOp::Rent(rent), CloudAsk::Rent(name.to_string()), mail);
+    }
+
+    fn resend_rentals(&mut self, mail: &mut Mail) {
+        for name in self.rentals.keys().cloned().collect::<Vec<_>>() {
+            self.send_rental(&name, mail);
+        }
+    }
+
+    /// Asks for what the waiting work needs.
+    fn rent(&mut self, mail: &mut Mail) {
+        let now = mail.now;
+        // A new leader first learns what there is: the list may still hide what was rented before it.
+        let Some(types) = self.types.want.clone() else {
+            return;
+        };
+        if !self.listed_once || now.mono < self.next_rent {
+            return;
+        }
+        self.next_rent = now.mono + 2 * HOUSEKEEPING_MS;
+        let mut picture = self.picture(now);
+        let mut offers = Vec::new();
+        let mut keys: Vec<OfferKey> = Vec::new();
+        for t in &types {
+            for zone in &t.zones {
+                for spot in [false, true] {
+                    let key = (t.name.clone(), zone.clone(), spot);
+                    let open = self
+                        .refused
+                        .get(&key)
+                        .is_none_or(|(until, _)| now.mono >= *until);
+                    offers.push(Offer {
+                        kind: picture.kinds.number(&t.name),
+                        zone: picture.zones.number(zone),
+                        spot,
+                        total: Res {
+                            cpus: t.cpus,
+                            gpus: t.gpus,
+                            mem: t.mem_gb,
+                        },
+                        price: if spot { t.spot_price } else { t.price },
+                        open,
+                    });
+                    keys.push(key);
+                }
+            }
+        }
+        let mut coming = vec![0; offers.len()];
+        for m in self.machines.values() {
+            if m.known && !m.synced && !m.failed && !m.returning() {
+                let key = (m.kind.clone(), m.zone.clone(), m.spot);
+                if let Some(i) = keys.iter().position(|k| *k == key) {
+                    coming[i] += 1;
+                }
+            }
+        }
+        let mut asked = vec![false; offers.len()];
+        for r in self.rentals.values() {
+            if let Some(want) = r.record.want.as_ref().or(r.record.saved.as_ref()) {
+                let key = (want.kind.clone(), want.zone.clone(), want.spot);
+                if let Some(i) = keys.iter().position(|k| *k == key) {
+                    coming[i] += want.count;
+                    asked[i] = true;
+                }
+            }
+        }
+        let fleet = FleetView {
+            offers,
+            coming,
+            thrifty: self.settings.thrifty(),
+        };
+        let most = (self.settings.deployment.state.txn_ops as u32).clamp(1, RENT_MAX);
+        for wish in plan_fleet(&picture.view, &fleet) {
+            let (kind, zone, spot) = keys[wish.offer].clone();
+            if asked[wish.offer] || self.rentals.len() >= 8 {
+                continue;
+            }
+            self.next_request += 1;
+            // The term makes the name unique among all leaders there ever were.
+            let name = format!("t{}-{}", self.term, self.next_request);
+            let count = wish.count.min(most);
+            log::info!(
+                "event=rent request={name} kind={kind} zone={zone} spot={spot} count={count}"
+            );
+            let mut record = Cell::new(None, 0);
+            record.want = Some(RentalRecord {
+                kind,
+                zone,
+                spot,
+                count,
+            });
+            let rental = Rental {
+                record,
+                sent: false,
+                retry_at: 0,
+                since: now.mono,
+            };
+            self.rentals.insert(name.clone(), rental);
+            self.mark(Dirty::Rental(name));
+        }
+    }
+
+    pub(super) fn cloud_answered(
+        &mut self,
+        ask: CloudAsk,
+        op: CloudOp,
+        reply: CloudReply,
+        mail: &mut Mail,
+    ) {
+        let now = mail.now;
+        match (ask, reply) {
+            (CloudAsk::Types, CloudReply::Types(types)) => {
+                if self.types.want.as_ref() != Some(&types) {
+                    mail.news.push(News::Types(types.clone()));
+                    self.types.want = Some(types);
+                    self.mark(Dirty::Types);
+                    self.plan_due = true;
+                }
+            }
+            (CloudAsk::Types, _) => {
+                let pause = if self.types.want.is_some() {
+                    10_000
+                } else {
+                    1_000
+                };
+                self.next_types = now.mono + pause;
+            }
+            (CloudAsk::List { asked }, CloudReply::Listed(list)) => {
+                let last = list.machines.last().map(|m| m.id.clone());
+                for m in list.machines {
+                    self.on_listed(m, now);
+                }
+                match (list.more, last) {
+                    (true, Some(from)) => {
+                        self.ask_cloud(CloudOp::List { from }, CloudAsk::List { asked }, mail);
+                    }
+                    _ => self.list_complete(asked),
+                }
+            }
+            (CloudAsk::List { .. }, _) => self.list_busy = None,
+            (CloudAsk::Rent(name), reply) => self.on_rented(&name, op, reply, now),
+            (CloudAsk::Return(names), CloudReply::Returned) => {
+                for name in names {
+                    self.machine_gone(&name, now);
+                }
+            }
+            (CloudAsk::Return(names), reply) => {
+                log::info!(
+                    "event=return_failed machines={} reply={reply:?}",
+                    names.len()
+                );
+                for name in names {
+                    if let Some(m) = self.machines.get_mut(&name) {
+                        m.return_sent = Some(now.mono.saturating_sub(2 * CLOUD_TIMEOUT_MS - 2_000));
+                    }
+                }
+            }
+        }
+    }
+
+    fn machine_gone(&mut self, name: &str, now: Now) {
+        self.free_machine(name, "its machine was given back", now);
+        self.gone.insert(name.to_string(), now.mono);
+        log::info!("event=machine_gone machine={name}");
+        if let Some(m) = self.machines.get_mut(name) {
+            m.record.want = None;
+            m.synced = false;
+            self.mark(Dirty::Machine(name.to_string()));
+        }
+        self.plan_due = true;
+    }
+
+    fn on_rented(&mut self, name: &str, op: CloudOp, reply: CloudReply, now: Now) {
+        let CloudOp::Rent(rent) = op else { return };
+        let Some(rental) = self.rentals.get_mut(name) else {
+            return;
+        };
+        rental.sent = false;
+        let key = (rent.kind.clone(), rent.zone.clone(), rent.spot);
+        match reply {
+            CloudReply::Rented(machines) => {
+                log::info!(
+                    "event=rented request={name} got={} of={} took_ms={}",
+                    machines.len(),
+                    rent.count,
+                    now.mono - rental.since
+                );
+                rental.record.want = None;
+                if machines.len() < rent.count as usize {
+                    self.no_capacity(key, now);
+                } else {
+                    self.refused.remove(&key);
+                }
+                for machine in machines {
+                    let m = self
+                        .machines
+                        .entry(machine.clone())
+                        .or_insert_with(|| Machine::new(now.mono));
+                    m.describe(&rent.kind, &rent.zone, rent.spot);
+                    if m.record.want.is_none() && !self.gone.contains_key(&machine) {
+                        m.record.want = Some(MachineRecord {
+                            kind: rent.kind.clone(),
+                            zone: rent.zone.clone(),
+                            spot: rent.spot,
+                            at: now.unix,
+                            returning: false,
+                        });
+                        self.mark(Dirty::Machine(machine));
+                    }
+                }
+                // Marked last: the machines are recorded before the request is forgotten.
+                self.mark(Dirty::Rental(name.to_string()));
+            }
+            CloudReply::NoCapacity | CloudReply::Invalid => {
+                rental.record.want = None;
+                self.no_capacity(key, now);
+                self.mark(Dirty::Rental(name.to_string()));
+            }
+            _ => rental.retry_at = now.mono + 2_000,
+        }
+    }
+
+    fn no_capacity(&mut self, key: OfferKey, now: Now) {
+        let last = self.refused.get(&key).map_or(0, |(_, pause)| *pause);
+        let pause = (last * 2).clamp(NO_CAPACITY_MS, NO_CAPACITY_MAX_MS);
+        log::info!(
+            "event=no_capacity kind={} zone={} spot={} pause_ms={pause}",
+            key.0,
+            key.1,
+            key.2
+        );
+        self.refused.insert(key, (now.mono + pause, pause));
+    }
+
+    fn on_listed(&mut self, listed: wire::cloud::ListedMachine, now: Now) {
+        self.list_seen.insert(listed.id.clone());
+        if self.gone.contains_key(&listed.id) {
+            return;
+        }
+        let m = self
+            .machines
+            .entry(listed.id.clone())
+            .or_insert_with(|| Machine::new(now.mono));
+        m.describe(&listed.kind, &listed.zone, listed.spot);
+        if m.addr.is_none() {
+            m.addr = listed.addr.clone();
+        }
+        m.listed = true;
+        m.missing_lists = 0;
+        if listed.phase == MachinePhase::Failed && !m.failed {
+            log::info!("event=machine_failed machine={}", listed.id);
+            m.failed = true;
+            self.plan_due = true;
+        }
+    }
+
+    fn list_complete(&mut self, asked: u64) {
+        self.list_busy = None;
+        self.listed_once = true;
+        if asked < self.list_asked {
+            return;
+        }
+        self.list_asked = asked;
+        for (name, m) in &mut self.machines {
+            if m.listed && !self.list_seen.contains(name) {
+                m.missing_lists += 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/leader/mod.rs
@@ -0,0 +1,570 @@
+//! The leader's books: open jobs, machines and rentals; the only place where tasks are placed.
+//!
+//! Everything recorded is level-triggered: memory holds what is wanted, transactions bring the store there, and
+//! nothing leaves the node (`launch`, `reap`, `done`, rental, return) before its record is known to be safe.
+
+mod books;
+mod fleet;
+mod planning;
+mod reports;
+pub(crate) use reports::{direct_call, Heard};
+mod store;
+
+use crate::cloud::{CloudOp, CloudReply};
+use crate::mail::{CloudTag, Mail, News, Now, StateTag};
+use crate::settings::{Operator, Settings};
+use crate::state::{Bucket, Priority, StateOp, StateReply};
+use books::*;
+use constants::*;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use wire::cloud::MachineType;
+use wire::records::*;
+use wire::state::{Change, Item};
+
+/// Why the leader asked the state service.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Ask {
+    /// A page of the records, while loading.
+    Load(&'static str),
+    /// A watch of the open jobs.
+    Watch,
+    /// A transaction.
+    Flight(u64),
+    /// A record whose version has become doubtful.
+    Refresh(Dirty, String),
+    /// All open jobs, after the watch fell behind.
+    Resync,
+}
+
+/// Why the leader asked the cloud.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum CloudAsk {
+    Types,
+    List { asked: u64 },
+    Rent(String),
+    Return(Vec<String>),
+}
+
+/// Something whose record is not as wanted.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Dirty {
+    Job(String),
+    Machine(String),
+    Rental(String),
+    Types,
+    Orphan(String),
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Loading {
+    /// Reading the records under a prefix, from a key on.
+    Pages {
+        prefix: &'static str,
+        from: String,
+    },
+    Ready,
+}
+
+/// A rental request.
+#[derive(Debug, Clone)]
+struct Rental {
+    record: Cell<RentalRecord>,
+    /// The cloud was asked.
+    sent: bool,
+    retry_at: u64,
+    since: u64,
+}
+
+/// Type, zone and kind of a machine.
+type OfferKey = (String, String, bool);
+
+pub(crate) struct Leader {
+    pub term: u64,
+    lead_version: u64,
+    settings: Settings,
+    operator: Operator,
+    loading: Loading,
+    load_busy: bool,
+    load_retry_at: u64,
+    since: u64,
+    ready_at: u64,
+    jobs: BTreeMap<String, Job>,
+    machines: BTreeMap<String, Machine>,
+    /// Machines that are certainly gone, with the time that was learnt.
+    gone: HashMap<String, u64>,
+    rentals: BTreeMap<String, Rental>,
+    types: Cell<Vec<MachineType>>,
+    orphans: BTreeMap<String, u64>,
+    watch_from: u64,
+    watch_open: bool,
+    watch_retry_at: u64,
+    // Store.
+    dirty: BTreeSet<Dirty>,
+    dirty_order: VecDeque<Dirty>,
+    flights: HashMap<u64, store::Flight>,
+    next_flight: u64,
+    retries: Vec<(u64, u64)>,
+    refreshing: BTreeMap<Dirty, usize>,
+    // Planning.
+    plan_due: bool,
+    next_round: u64,
+    next_housekeeping: u64,
+    // Fleet.
+    next_request: u64,
+    refused: HashMap<OfferKey, (u64, u64)>,
+    next_list: u64,
+    next_types: u64,
+    list_busy: Option<u64>,
+    list_seen: BTreeSet<String>,
+    list_asked: u64,
+    listed_once: bool,
+    next_rent: u64,
+    kill_budget: Bucket,
+    /// Jobs filed away in this term, in two generations.
+    filed: [std::collections::HashSet<String>; 2],
+    next_summary: u64,
+}
+
+impl Leader {
+    pub fn new(
+        settings: &Settings,
+        operator: &Operator,
+        term: u64,
+        lead_version: u64,
+        now: Now,
+    ) -> Self {
+        Leader {
+            term,
+            lead_version,
+            settings: settings.clone(),
+            operator: operator.clone(),
+            loading: Loading::Pages {
+                prefix: JOBS,
+                from: String::new(),
+            },
+            load_busy: false,
+            load_retry_at: 0,
+            since: now.mono,
+            ready_at: 0,
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            gone: HashMap::new(),
+            rentals: BTreeMap::new(),
+            types: Cell::new(None, 0),
+            orphans: BTreeMap::new(),
+            watch_from: 0,
+            watch_open: false,
+            watch_retry_at: 0,
+            dirty: BTreeSet::new(),
+            dirty_order: VecDeque::new(),
+            flights: HashMap::new(),
+            next_flight: 0,
+            retries: Vec::new(),
+            refreshing: BTreeMap::new(),
+            plan_due: true,
+            next_round: 0,
+            next_housekeeping: 0,
+            next_request: 0,
+            refused: HashMap::new(),
+            next_list: 0,
+            next_types: 0,
+            list_busy: None,
+            list_seen: BTreeSet::new(),
+            list_asked: 0,
+            listed_once: false,
+            next_rent: 0,
+            kill_budget: Bucket::new(20.0, 40.0),
+            filed: Default::default(),
+            next_summary: 0,
+        }
+    }
+
+    pub fn is_ready(&self) -> bool {
+        self.loading == Loading::Ready
+    }
+
+    fn ask(&self, priority: Priority, op: StateOp, ask: Ask, mail: &mut Mail) {
+        mail.state
+            .push((priority, op, StateTag::Leader(self.term, ask)));
+    }
+
+    fn ask_cloud(&self, op: CloudOp, ask: CloudAsk, mail: &mut Mail) {
+        mail.cloud.push((op, CloudTag::Leader(self.term, ask)));
+    }
+
+    /// Time-driven work. `active` tells whether the leader's lease holds and the state service answers:
+    /// without that nothing is decided.
+    pub fn tick(&mut self, active: bool, mail: &mut Mail) {
+        let now = mail.now.mono;
+        if let Loading::Pages { prefix, from } = self.loading.clone() {
+            if !self.load_busy && now >= self.load_retry_at {
+                self.load_busy = true;
+                let op = StateOp::List { prefix, from };
+                self.ask(Priority::Leadership, op, Ask::Load(prefix), mail);
+            }
+            return;
+        }
+        if !self.watch_open && now >= self.watch_retry_at {
+            self.watch_open = true;
+            let op = StateOp::Watch {
+                prefix: JOBS,
+                from: self.watch_from,
+            };
+            self.ask(Priority::Books, op, Ask::Watch, mail);
+        }
+        if now >= self.next_housekeeping {
+            self.next_housekeeping = now + HOUSEKEEPING_MS;
+            self.watch_machines(active, mail);
+            if active {
+                self.mind_fleet(mail);
+            }
+        }
+        if active && self.plan_due && now >= self.next_round {
+            self.next_round = now + ROUND_EVERY_MS;
+            self.plan(mail);
+        }
+        self.flush(mail);
+    }
+
+    pub fn next_wake(&self) -> u64 {
+        if !self.is_ready() {
+            return if self.load_busy {
+                u64::MAX
+            } else {
+                self.load_retry_at
+            };
+        }
+        let mut at = self.next_housekeeping;
+        if self.plan_due {
+            at = at.min(self.next_round);
+        }
+        if !self.watch_open {
+            at = at.min(self.watch_retry_at);
+        }
+        self.retries.iter().fold(at, |at, (t, _)| at.min(*t))
+    }
+
+    pub fn on_state(&mut self, ask: Ask, reply: StateReply, mail: &mut Mail) {
+        match ask {
+            Ask::Load(prefix) => self.on_load(prefix, reply, mail),
+            Ask::Watch => self.on_watch(reply, mail),
+            Ask::Flight(number) => self.on_flight(number, reply, mail),
+            Ask::Refresh(what, key) => self.on_refresh(what, key, reply, mail),
+            Ask::Resync => self.on_resync(reply, mail),
+        }
+    }
+
+    fn on_load(&mut self, prefix: &'static str, reply: StateReply, mail: &mut Mail) {
+        self.load_busy = false;
+        let now = mail.now.mono;
+        let StateReply::Page(page) = reply else {
+            self.load_retry_at = now + STATE_RETRY_MS;
+            return;
+        };
+        if prefix == JOBS && self.watch_from == 0 {
+            self.watch_from = page.revision.max(1);
+        }
+        let last = page.items.last().map(|i| i.key.clone());
+        for item in page.items {
+            self.load_item(prefix, item, now);
+        }
+        if let (true, Some(from)) = (page.more, last) {
+            self.loading = Loading::Pages { prefix, from };
+            return self.tick(false, mail);
+        }
+        let next = match prefix {
+            JOBS => Some(CHUNKS),
+            CHUNKS => Some(MACHINES),
+            MACHINES => Some(RENTALS),
+            RENTALS => Some(TYPES),
+            _ => None,
+        };
+        match next {
+            Some(prefix) => {
+                let from = String::new();
+                self.loading = Loading::Pages { prefix, from };
+                self.tick(false, mail);
+            }
+            None => self.loaded(mail),
+        }
+    }
+
+    fn load_item(&mut self, prefix: &'static str, item: Item, now: u64) {
+        let Item {
+            key,
+            value,
+            version,
+            ..
+        } = item;
+        let name = key.strip_prefix(prefix).unwrap_or_default().to_string();
+        let ok = match prefix {
+            JOBS => value.deserialized::<JobRecord>().map(|r| {
+                self.jobs.insert(name, Job::new(r, version));
+            }),
+            CHUNKS => value.deserialized::<ChunkRecord>().map(|r| {
+                let place = name.split_once('/');
+                let number = place.and_then(|(_, n)| n.parse::<u32>().ok());
+                let job = place.and_then(|(id, _)| self.jobs.get_mut(id));
+                match (job, number) {
+                    (Some(job), Some(number)) => job.load_chunk(number, r, version),
+                    _ => {
+                        self.orphans.insert(key.clone(), version);
+                    }
+                }
+            }),
+            MACHINES => value.deserialized::<MachineRecord>().map(|r| {
+                let m = self
+                    .machines
+                    .entry(name)
+                    .or_insert_with(|| Machine::new(now));
+                m.describe(&r.kind, &r.zone, r.spot);
+                m.record = Cell::new(Some(r), version);
+            }),
+            RENTALS => value.deserialized::<RentalRecord>().map(|r| {
+                let rental = Rental {
+                    record: Cell::new(Some(r), version),
+                    sent: false,
+                    retry_at: 0,
+                    since: now,
+                };
+                self.rentals.insert(name, rental);
+            }),
+            _ if key == TYPES => value.deserialized::<Vec<MachineType>>().map(|types| {
+                self.types = Cell::new(Some(types), version);
+            }),
+            _ => Ok(()),
+        };
+        if let Err(why) = ok {
+            log::error!("event=record_unreadable key={key} why={why}");
+        }
+    }
+
+    fn loaded(&mut self, mail: &mut Mail) {
+        let now = mail.now.mono;
+        self.loading = Loading::Ready;
+        self.ready_at = now;
+        self.next_housekeeping = now + HOUSEKEEPING_MS;
+        if let Some(types) = &self.types.saved {
+            mail.news.push(News::Types(types.clone()));
+        }
+        let mut places = Vec::new();
+        for (id, job) in &self.jobs {
+            for (task, place) in job.places() {
+                places.push((place.machine.clone(), id.clone(), task));
+            }
+        }
+        for (machine, id, task) in places {
+            self.machines
+                .entry(machine)
+                .or_insert_with(|| Machine::new(now))
+                .places
+                .insert((id, task));
+        }
+        for key in self.orphans.keys().cloned().collect::<Vec<_>>() {
+            self.mark(Dirty::Orphan(key));
+        }
+        for id in self.jobs.keys().cloned().collect::<Vec<_>>() {
+            self.mark_if_final(&id);
+        }
+        log::info!(
+            "event=books_loaded term={} jobs={} machines={} rentals={} took_ms={}",
+            self.term,
+            self.jobs.len(),
+            self.machines.len(),
+            self.rentals.len(),
+            now.saturating_sub(self.since)
+        );
+        let pending: Vec<_> = self
+            .machines
+            .values_mut()
+            .filter_map(|m| m.pending.take())
+            .collect();
+        for report in pending {
+            self.work_in(report, mail.now);
+        }
+        self.plan_due = true;
+        self.tick(false, mail);
+    }
+
+    fn on_watch(&mut self, reply: StateReply, mail: &mut Mail) {
+        self.watch_open = false;
+        match reply {
+            StateReply::Changes(changes) => {
+                for change in changes.events {
+                    self.on_change(change, mail);
+                }
+                self.watch_from = self.watch_from.max(changes.revision);
+                self.tick(false, mail);
+            }
+            StateReply::TooOld => {
+                log::info!("event=watch_too_old from={}", self.watch_from);
+                self.watch_open = true;
+                let op = StateOp::List {
+                    prefix: JOBS,
+                    from: String::new(),
+                };
+                self.ask(Priority::Books, op, Ask::Resync, mail);
+            }
+            _ => self.watch_retry_at = mail.now.mono + STATE_RETRY_MS,
+        }
+    }
+
+    /// The watch had fallen too far behind: all open jobs are read again, page by page.
+    fn on_resync(&mut self, reply: StateReply, mail: &mut Mail) {
+        let StateReply::Page(page) = reply else {
+            self.watch_open = false;
+            self.watch_retry_at = mail.now.mono + STATE_RETRY_MS;
+            return;
+        };
+        let last = page.items.last().map(|i| i.key.clone());
+        for item in page.items {
+            let change = Change {
+                put: Some(item.key),
+                value: Some(item.value),
+                delete: None,
+                version: item.version,
+            };
+            self.on_change(change, mail);
+        }
+        match (page.more, last) {
+            (true, Some(from)) => {
+                let op = StateOp::List { prefix: JOBS, from };
+                self.ask(Priority::Books, op, Ask::Resync, mail);
+            }
+            _ => {
+                self.watch_from = self.watch_from.max(page.revision);
+                self.watch_open = false;
+                self.tick(false, mail);
+            }
+        }
+    }
+
+    fn on_change(&mut self, change: Change, mail: &mut Mail) {
+        let (Some(key), Some(value)) = (change.put, change.value) else {
+            // Only this leader files jobs away, and it knows when it does.
+            return;
+        };
+        let Some(id) = key.strip_prefix(JOBS) else {
+            return;
+        };
+        let Ok(record) = value.deserialized::<JobRecord>() else {
+            log::error!("event=record_unreadable key={key}");
+            return;
+        };
+        self.learn_job(id, record, change.version, mail.now);
+    }
+
+    fn learn_job(&mut self, id: &str, record: JobRecord, version: u64, now: Now) {
+        let filed = self.is_filed(id);
+        match self.jobs.get_mut(id) {
+            Some(job) if version <= job.version => return,
+            Some(job) => {
+                job.version = version;
+                if record.aborted && !job.aborted {
+                    job.aborted = true;
+                    log::info!("event=abort_seen job={id} placed={}", job.placed);
+                    self.abort_places(id, now);
+                }
+            }
+            // A job that was filed away can't come back: ids are created once.
+            None if filed => return,
+            None => {
+                log::info!(
+                    "event=job_seen job={id} class={} team={} tasks={} gang={}",
+                    record.spec.class,
+                    record.spec.team,
+                    record.spec.tasks,
+                    record.spec.shape == wire::users::Shape::Gang
+                );
+                self.jobs.insert(id.to_string(), Job::new(record, version));
+            }
+        }
+        self.plan_due = true;
+        self.mark_if_final(id);
+    }
+
+    /// Cancelled: what was not sent goes at once, the rest is killed.
+    fn abort_places(&mut self, id: &str, now: Now) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let places: Vec<(u32, Stage)> = job.places().map(|(t, p)| (t, p.stage)).collect();
+        for (task, stage) in places {
+            if stage == Stage::Ready {
+                self.free_place(id, task, "aborted before it was sent", now);
+            } else if let Some(place) = self.jobs.get_mut(id).and_then(|j| j.place_mut(task)) {
+                place.stop = Some(Stop {
+                    since: now.mono,
+                    grace_s: 0.0,
+                    why: "aborted",
+                });
+            }
+        }
+    }
+
+    /// Takes a place away that is certainly free.
+    fn free_place(&mut self, id: &str, task: u32, why: &str, now: Now) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(place) = job.vacate(task) else {
+            return;
+        };
+        let running = matches!(place.phase, Some(TaskPhase::Running | TaskPhase::Saving));
+        if job.is_gang() && job.placed > 0 && (running || job.started) && !job.all_done() {
+            job.broken = true;
+        }
+        log::info!(
+            "event=place_freed task={id}/{task} try={} machine={} why={why:?}",
+            place.attempt,
+            place.machine
+        );
+        if let Some(m) = self.machines.get_mut(&place.machine) {
+            m.places.remove(&(id.to_string(), task));
+            if m.places.is_empty() {
+                m.idle_since = now.mono;
+            }
+        }
+        self.plan_due = true;
+        self.mark(Dirty::Job(id.to_string()));
+    }
+
+    fn mark_if_final(&mut self, id: &str) {
+        if self.jobs.get(id).is_some_and(|j| j.final_due().is_some()) {
+            self.mark(Dirty::Job(id.to_string()));
+        }
+    }
+
+    /// Tasks done and running of each open job, for display.
+    pub fn counts(&self) -> impl Iterator<Item = (&String, (u32, u32))> {
+        self.jobs.iter().map(|(id, job)| {
+            let running = job
+                .places()
+                .filter(|(_, p)| p.phase == Some(TaskPhase::Running))
+                .count();
+            (id, (job.done as u32, running as u32))
+        })
+    }
+
+    /// Whether workers that report here have all fallen silent.
+    pub fn hears_nobody(&self, now: u64) -> bool {
+        let known = self.machines.values().filter(|m| m.synced && !m.failed);
+        let silent_ms = (self.settings.deployment.workers.report_s * 2500.0) as u64;
+        let (mut all, mut silent) = (0, 0);
+        for m in known {
+            all += 1;
+            if m.last_report.is_none_or(|at| now > at + silent_ms) {
+                silent += 1;
+            }
+        }
+        if all > 0 {
+            return silent == all;
+        }
+        self.is_ready() && now > self.ready_at + 2 * silent_ms
+    }
+
+    pub fn on_cloud(&mut self, ask: CloudAsk, op: CloudOp, reply: CloudReply, mail: &mut Mail) {
+        self.cloud_answered(ask, op, reply, mail);
+        self.flush(mail);
+    }
+}
+
+use wire::workers::TaskPhase;
--- /dev/null
+++ b/crates/control/src/leader/planning.rs
@@ -0,0 +1,316 @@
+//! From the books to the scheduler's view, and from its decisions to places and stops.
+
+use super::books::*;
+use super::*;
+use sched::{
+    pilots_of, queue_of, Decision, JobView, MachineView, Res, Round, RunningView, TeamView, View,
+};
+use std::time::{Duration, Instant};
+
+/// Numbers names for the scheduler.
+#[derive(Default)]
+pub(super) struct Names(HashMap<String, usize>);
+
+impl Names {
+    pub fn number(&mut self, name: &str) -> usize {
+        let next = self.0.len();
+        match self.0.get(name) {
+            Some(n) => *n,
+            None => {
+                self.0.insert(name.to_string(), next);
+                next
+            }
+        }
+    }
+}
+
+/// A view, with what its numbers stand for.
+pub(super) struct Picture {
+    pub view: View,
+    pub jobs: Vec<String>,
+    pub machines: Vec<String>,
+    pub kinds: Names,
+    pub zones: Names,
+}
+
+impl Leader {
+    /// Seconds a task of the job is expected to run, and whether the job is still being sampled.
+    pub(super) fn task_secs(&self, job: &Job) -> (f64, bool) {
+        let (mean, timed) = job.sample();
+        let pilots = if job.is_gang() {
+            0
+        } else {
+            pilots_of(&self.operator.policy(), job.tasks())
+        };
+        if timed > 0 && timed >= pilots {
+            (mean, false)
+        } else {
+            (job.spec.guess_s, pilots > 0)
+        }
+    }
+
+    /// Whether tasks may be sent to a machine.
+    pub(super) fn usable(&self, m: &Machine, now: u64) -> bool {
+        let silent_ms = (self.settings.deployment.workers.report_s * 2500.0) as u64 + 500;
+        m.known
+            && m.synced
+            && m.draining.is_none()
+            && m.notice_at.is_none()
+            && !m.failed
+            && !m.returning()
+            && m.failed_jobs.len() < FAULTY_JOBS
+            && m.last_report.is_some_and(|at| now <= at + silent_ms)
+    }
+
+    pub(super) fn picture(&self, now: Now) -> Picture {
+        let (mut kinds, mut zones, mut images, mut teams) = (
+            Names::default(),
+            Names::default(),
+            Names::default(),
+            Names::default(),
+        );
+        let mut view = View::default();
+        for t in &self.settings.deployment.teams {
+            teams.number(&t.name);
+            view.teams.push(TeamView {
+                guarantee: (t.cpus, t.gpus),
+                limit: (t.cpus_max, t.gpus_max),
+                used: Res::default(),
+            });
+        }
+        let types: HashMap<&str, &MachineType> = self
+            .types
+            .want
+            .iter()
+            .flatten()
+            .map(|t| (t.name.as_str(), t))
+            .collect();
+        let mut machines = Vec::new();
+        let mut index: HashMap<&str, usize> = HashMap::new();
+        for (name, m) in &self.machines {
+            let Some(t) = types.get(m.kind.as_str()).filter(|_| m.known) else {
+                continue;
+            };
+            let total = Res {
+                cpus: t.cpus,
+                gpus: t.gpus,
+                mem: t.mem_gb,
+            };
+            index.insert(name, machines.len());
+            machines.push(name.clone());
+            view.machines.push(MachineView {
+                kind: kinds.number(&m.kind),
+                zone: zones.number(&m.zone),
+                spot: m.spot,
+                free: total,
+                soon: total,
+                total,
+                usable: self.usable(m, now.mono),
+                pilots: 0,
+                slow: m.is_slow(),
+                images: m.images.keys().map(|i| images.number(i)).collect(),
+                busy_s: 0.0,
+            });
+        }
+        let mut jobs = Vec::new();
+        for (id, job) in &self.jobs {
+            let team = teams.number(&job.spec.team);
+            if team >= view.teams.len() {
+                view.teams.push(TeamView::default());
+            }
+            let number = jobs.len();
+            jobs.push(id.clone());
+            let mut used: Vec<(usize, u32)> = Vec::new();
+            let task = job.res();
+            let (secs, sampling) = self.task_secs(job);
+            let mut pilots = 0;
+            let mut ran = 0.0;
+            let placed = job.places().map(|(t, p)| (t, p.machine.as_str(), Some(p)));
+            let strays = job.strays.iter().map(|(t, m)| (*t, m.as_str(), None));
+            for (number_of_task, machine, place) in placed.chain(strays) {
+                view.teams[team].used.add(&task);
+                pilots += u32::from(place.is_some_and(|p| p.pilot));
+                let known = self.machines.get(machine).filter(|m| m.known);
+                // A place whose zone is not known yet counts as a zone of its own: nothing is near it.
+                let zone = known.map_or(usize::MAX, |m| zones.number(&m.zone));
+                match used.iter_mut().find(|(z, _)| *z == zone) {
+                    Some((_, n)) => *n += 1,
+                    None => used.push((zone, 1)),
+                }
+                let Some(&m) = index.get(machine) else {
+                    continue;
+                };
+                view.machines[m].free.sub(&task);
+                let Some(place) = place else { continue };
+                if place.stop.is_none() {
+                    view.machines[m].soon.sub(&task);
+                }
+                view.machines[m].pilots += u32::from(place.pilot && sampling);
+                let elapsed = place
+                    .running_since
+                    .map_or(0.0, |t| now.mono.saturating_sub(t) as f64 / 1000.0);
+                ran += elapsed;
+                let left = (secs - elapsed).max(1.0);
+                view.machines[m].busy_s = view.machines[m].busy_s.max(left);
+                let saves = job.spec.checkpoint_s > 0.0;
+                view.running.push(RunningView {
+                    job: number,
+                    task: number_of_task,
+                    machine: m,
+                    team,
+                    priority: job.spec.priority as u8,
+                    res: task,
+                    movable: place.stop.is_none()
+                        && place.stage == Stage::Seen
+                        && (!job.is_gang() || job.tasks() == 1)
+                        && (place.running_since.is_none() || left > job.spec.save_s + 3.0),
+                    cost_s: if saves { job.spec.save_s } else { elapsed },
+                });
+            }
+            let open = !job.aborted && job.pause_until <= now.mono && job.strays.is_empty();
+            let waiting = if open {
+                self.waiting_tasks(job)
+            } else {
+                Vec::new()
+            };
+            let todo = job.spec.tasks.saturating_sub(job.done) as f64;
+            let policy = self.operator.policy();
+            let wanted_pilots = pilots_of(&policy, job.tasks());
+            let known_pilots = pilots + job.sample().1;
+            let due_ms = |s: f64| (s * 1000.0) as u64;
+            view.jobs.push(JobView {
+                team,
+                gang: job.is_gang(),
+                priority: job.spec.priority as u8,
+                task,
+                kinds: job
+                    .spec
+                    .types
+                    .as_ref()
+                    .map(|t| t.iter().map(|t| kinds.number(t)).collect()),
+                zone: job.spec.zone.as_ref().map(|z| zones.number(z)),
+                one_zone: job.spec.one_zone,
+                zone_cap: job.spec.spread.then(|| job.tasks().div_ceil(2)),
+                zones_used: used,
+                spot: job.spec.spot,
+                image: images.number(&job.spec.image),
+                pilots_due: if sampling {
+                    wanted_pilots.saturating_sub(known_pilots)
+                } else {
+                    0
+                },
+                waiting,
+                sampling,
+                queue: queue_of(&policy, (secs * todo - ran).max(0.0)),
+                order: job.at + job.spec.due_s.map_or(0, due_ms),
+                running: job.placed,
+                avoid: if job.fail_machines.len() > FAULTY_JOBS {
+                    Vec::new()
+                } else {
+                    job.fail_machines
+                        .iter()
+                        .filter_map(|m| index.get(m.as_str()).copied())
+                        .collect()
+                },
+            });
+        }
+        Picture {
+            view,
+            jobs,
+            machines,
+            kinds,
+            zones,
+        }
+    }
+
+    /// Tasks without a place, as many as one round can use.
+    fn waiting_tasks(&self, job: &Job) -> Vec<u32> {
+        if job.is_gang() {
+            let halfway = job.placed > 0;
+            let unsure = job
+                .places()
+                .any(|(_, p)| p.stop.is_some() || matches!(p.stage, Stage::Recorded));
+            if halfway && (job.started || job.broken || unsure) {
+                return Vec::new();
+            }
+        }
+        // No more than what could be placed on an empty fleet, with a margin.
+        let most = if job.is_gang() { usize::MAX } else { 256 };
+        let mut out = Vec::new();
+        let mut next = 0;
+        while out.len() < most {
+            next = job.busy.next_missing(next);
+            if next >= job.tasks() {
+                break;
+            }
+            out.push(next);
+            next += 1;
+        }
+        out
+    }
+
+    /// One round of decisions.
+    pub(super) fn plan(&mut self, mail: &mut Mail) {
+        let now = mail.now;
+        self.plan_due = false;
+        let picture = self.picture(now);
+        let policy = self.operator.policy();
+        let started = Instant::now();
+        let budget = Duration::from_millis(ROUND_BUDGET_MS);
+        let (decisions, finished) =
+            Round::new(&policy, picture.view.clone()).run(|| started.elapsed() < budget);
+        if !finished {
+            log::info!("event=round_cut decisions={}", decisions.len());
+            self.plan_due = true;
+        }
+        for decision in decisions {
+            match decision {
+                Decision::Place {
+                    job,
+                    tasks,
+                    pilots,
+                    entitled,
+                } => {
+                    let id = &picture.jobs[job];
+                    let view = &picture.view.jobs[job];
+                    log::info!(
+                        "event=place job={id} tasks={} first={:?} pilot={pilots} entitled={entitled} \
+                         queue={} sampling={}",
+                        tasks.len(),
+                        tasks.first().map(|(t, m)| (*t, &picture.machines[*m])),
+                        view.queue,
+                        view.sampling
+                    );
+                    self.place(id, &tasks, pilots, &picture.machines);
+                }
+                Decision::Stop { job, task, by } => {
+                    let id = picture.jobs[job].clone();
+                    let grace = self.jobs.get(&id).map_or(0.0, |j| j.spec.save_s + 1.0);
+                    log::info!("event=preempt task={id}/{task} by={}", picture.jobs[by]);
+                    self.stop_task(&id, task, grace, "preempted", now);
+                }
+            }
+        }
+    }
+
+    fn place(&mut self, id: &str, tasks: &[(u32, usize)], pilot: bool, machines: &[String]) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let whole = job.highest_attempt();
+        // Missing tasks of a gang that still gathers join its present attempt.
+        let joined = job.places().map(|(_, p)| p.attempt).max();
+        for &(task, machine) in tasks {
+            let attempt = if job.is_gang() {
+                joined.unwrap_or(whole + 1)
+            } else {
+                job.chunks.get(&chunk_of(task)).map_or(0, |c| c.hi) + 1
+            };
+            job.put(task, &machines[machine], attempt, pilot);
+            if let Some(m) = self.machines.get_mut(&machines[machine]) {
+                m.places.insert((id.to_string(), task));
+            }
+        }
+        self.mark(Dirty::Job(id.to_string()));
+    }
+}
--- /dev/null
+++ b/crates/control/src/leader/reports.rs
@@ -0,0 +1,558 @@
+//! Workers: what reports prove, what is answered, and when silence proves something too.
+
+use super::books::*;
+use super::*;
+use crate::mail::{Output, Target};
+use wire::workers::*;
+
+fn split_task(name: &str) -> Option<(&str, u32)> {
+    let (job, number) = name.rsplit_once('/')?;
+    Some((job, number.parse().ok()?))
+}
+
+fn task_name(job: &str, task: u32) -> String {
+    format!("{job}/{task}")
+}
+
+/// What to do with an answer to a report.
+pub(crate) enum Heard {
+    /// Answer with these orders.
+    Answer(ReportAnswer),
+    /// The worker knows a newer term: we are not the leader.
+    Newer(u64),
+}
+
+impl Leader {
+    /// A worker's report. `active` tells whether starts may be sent.
+    pub fn on_report(&mut self, report: Report, active: bool, now: Now) -> Heard {
+        if report.term > self.term {
+            return Heard::Newer(report.term);
+        }
+        let (term, ready) = (self.term, self.is_ready());
+        let orders = Vec::new();
+        if self.gone.contains_key(&report.machine) {
+            // Sent before the machine went: it changes nothing.
+            return Heard::Answer(ReportAnswer { term, orders });
+        }
+        let m = self
+            .machines
+            .entry(report.machine.clone())
+            .or_insert_with(|| Machine::new(now.mono));
+        if (report.session, report.seq) <= (m.session, m.seq) {
+            return Heard::Answer(ReportAnswer { term, orders });
+        }
+        (m.session, m.seq) = (report.session, report.seq);
+        m.describe(&report.kind, &report.zone, report.spot);
+        m.addr = Some(report.addr.clone());
+        let was_silent = m.last_report.is_none();
+        m.last_report = Some(now.mono);
+        m.last_answer = Some(now.mono);
+        m.notice_at = report
+            .notice_s
+            .map(|s| now.mono + (s.max(0.0) * 1000.0) as u64);
+        if was_silent {
+            self.plan_due = true;
+        }
+        if report.term < self.term {
+            // The worker may still execute an earlier leader's answer: only its next report, with our term,
+            // says what is on the machine.
+            return Heard::Answer(ReportAnswer { term, orders });
+        }
+        m.token_seen = true;
+        if !ready {
+            m.pending = Some(report);
+            return Heard::Answer(ReportAnswer { term, orders });
+        }
+        let (name, listed) = (report.machine.clone(), report.tasks.clone());
+        self.work_in(report, now);
+        let orders = self.orders_for(&name, &listed, active, now);
+        Heard::Answer(ReportAnswer { term, orders })
+    }
+
+    /// Takes over what a report with our term proves.
+    pub(super) fn work_in(&mut self, report: Report, now: Now) {
+        let name = report.machine.clone();
+        let Some(m) = self.machines.get_mut(&name) else {
+            return;
+        };
+        if !m.synced {
+            m.synced = true;
+            self.plan_due = true;
+            log::info!(
+                "event=worker_known machine={name} kind={} zone={} spot={} tasks={}",
+                report.kind,
+                report.zone,
+                report.spot,
+                report.tasks.len()
+            );
+        }
+        if let Some(at) = m.notice_at {
+            if m.draining.is_none() {
+                m.draining = Some("notice");
+                let left = at.saturating_sub(now.mono);
+                log::info!("event=notice machine={name} left_ms={left}");
+                self.plan_due = true;
+            }
+        }
+        let mut listed: BTreeMap<(String, u32), &TaskReport> = BTreeMap::new();
+        for t in &report.tasks {
+            if let Some((job, task)) = split_task(&t.task) {
+                listed.insert((job.to_string(), task), t);
+            }
+        }
+        let recorded: Vec<(String, u32)> = self
+            .machines
+            .get(&name)
+            .map(|m| m.places.iter().cloned().collect())
+            .unwrap_or_default();
+        for (id, task) in &recorded {
+            let place = self.jobs.get(id).and_then(|j| j.place(*task));
+            let Some(place) = place.filter(|p| p.machine == name) else {
+                if let Some(m) = self.machines.get_mut(&name) {
+                    m.places.remove(&(id.clone(), *task));
+                }
+                continue;
+            };
+            let entry = listed
+                .get(&(id.clone(), *task))
+                .filter(|t| t.attempt == place.attempt);
+            match entry {
+                Some(t) if t.phase == TaskPhase::Ended => {
+                    let cause = t.cause.unwrap_or(Cause::Other);
+                    self.ended(id, *task, &name, cause, now);
+                }
+                Some(t) => self.seen(id, *task, t.phase, now),
+                None => self.absent(id, *task, &report, now),
+            }
+        }
+        self.find_strays(&name, &listed);
+    }
+
+    fn seen(&mut self, id: &str, task: u32, phase: TaskPhase, now: Now) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let (image, gb) = (job.spec.image.clone(), job.spec.image_gb);
+        let Some(place) = job.place_mut(task) else {
+            return;
+        };
+        // Only a start that we have watched from its beginning can be timed.
+        let timed = place.stage != Stage::Recorded;
+        place.stage = Stage::Seen;
+        let new = place.phase != Some(phase);
+        place.phase = Some(phase);
+        let machine = place.machine.clone();
+        let runs = matches!(phase, TaskPhase::Running | TaskPhase::Saving);
+        if runs && place.running_since.is_none() && timed {
+            place.running_since = Some(now.mono);
+        }
+        if runs {
+            job.started = true;
+            job.first_run.get_or_insert(now.mono);
+        }
+        if new {
+            self.plan_due = true;
+        }
+        if phase != TaskPhase::Fetching {
+            if let Some(m) = self.machines.get_mut(&machine) {
+                m.images.insert(image, (now.mono, gb));
+                let cache = self
+                    .types
+                    .want
+                    .iter()
+                    .flatten()
+                    .find(|t| t.name == m.kind)
+                    .map_or(f64::MAX, |t| t.cache_gb);
+                let mut total: f64 = m.images.values().map(|(_, gb)| gb).sum();
+                while total > cache && m.images.len() > 1 {
+                    let oldest = m.images.iter().min_by_key(|(_, (at, _))| *at);
+                    let Some((oldest, gb)) = oldest.map(|(k, (_, gb))| (k.clone(), *gb)) else {
+                        break;
+                    };
+                    total -= gb;
+                    m.images.remove(&oldest);
+                }
+            }
+        }
+    }
+
+    /// A recorded task that a report with our term does not list.
+    fn absent(&mut self, id: &str, task: u32, report: &Report, now: Now) {
+        let Some(place) = self.jobs.get_mut(id).and_then(|j| j.place_mut(task)) else {
+            return;
+        };
+        match place.stage {
+            Stage::Ready => {}
+            Stage::Sent { session, seq } => {
+                if (report.session, report.seq) <= (session, seq) {
+                    return;
+                }
+                // One report is in flight at a time, so this one was written after the answer with the
+                // `launch` was executed or dropped.
+                if session == report.session && place.stop.is_none() {
+                    place.stage = Stage::Ready;
+                } else {
+                    self.free_place(id, task, "the start never arrived", now);
+                }
+            }
+            Stage::Recorded => self.free_place(id, task, "recorded but not on its machine", now),
+            Stage::Seen => self.free_place(id, task, "no longer on its machine", now),
+        }
+    }
+
+    fn ended(&mut self, id: &str, task: u32, machine: &str, cause: Cause, now: Now) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(place) = job.place(task).cloned() else {
+            return;
+        };
+        log::info!(
+            "event=task_ended task={id}/{task} try={} machine={machine} cause={cause:?} ran_ms={}",
+            place.attempt,
+            place.running_since.map_or(0, |t| now.mono - t)
+        );
+        let gang = job.is_gang();
+        match cause {
+            Cause::Done => {
+                let secs = place
+                    .running_since
+                    .map(|t| now.mono.saturating_sub(t) as f64 / 1000.0);
+                let (mean, timed) = job.sample();
+                job.fails = 0;
+                job.fail_machines.clear();
+                if gang {
+                    // A gang completes together: one done task proves all of them.
+                    for t in 0..job.tasks() {
+                        job.complete(t, if t == task { secs } else { None });
+                    }
+                } else {
+                    job.complete(task, secs);
+                }
+                if let Some(m) = self.machines.get_mut(machine) {
+                    m.failed_jobs.clear();
+                    if let (Some(secs), true) = (secs, timed > 0 && mean > 0.0) {
+                        m.pace.0 += secs / mean;
+                        m.pace.1 += 1;
+                    }
+                }
+            }
+            Cause::Error | Cause::Other => {
+                job.fails += 1;
+                let pause = ERROR_PAUSE_MS << job.fails.min(5);
+                job.pause_until = now.mono + pause.min(ERROR_PAUSE_MAX_MS);
+                job.fail_machines.insert(machine.to_string());
+                // A job that fails on one machine after the other blames no machine.
+                let suspect = job.fail_machines.len() <= FAULTY_JOBS;
+                if let (Some(m), true) = (self.machines.get_mut(machine), suspect) {
+                    m.failed_jobs.insert(id.to_string());
+                }
+            }
+            Cause::NoRoom | Cause::Busy | Cause::Unknown => {
+                job.pause_until = job.pause_until.max(now.mono + ERROR_PAUSE_MS / 2);
+            }
+            Cause::Alone | Cause::Peers if gang => job.broken = true,
+            _ => {}
+        }
+        if gang && cause != Cause::Done {
+            let broken = job.started || cause != Cause::NoRoom;
+            job.broken |= broken;
+        }
+        self.free_place(id, task, "ended", now);
+    }
+
+    /// Tasks on the machine that the records don't place there.
+    fn find_strays(&mut self, name: &str, listed: &BTreeMap<(String, u32), &TaskReport>) {
+        let mut strays = BTreeSet::new();
+        for ((id, task), t) in listed {
+            let here = self
+                .jobs
+                .get(id)
+                .and_then(|j| j.place(*task))
+                .is_some_and(|p| p.machine == name && p.attempt == t.attempt);
+            if !here && t.phase != TaskPhase::Ended {
+                strays.insert((id.clone(), *task, t.attempt));
+            }
+        }
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        let old = std::mem::replace(&mut m.strays, strays.clone());
+        for (id, task, attempt) in strays.difference(&old) {
+            log::info!("event=stray task={id}/{task} try={attempt} machine={name}");
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.strays.insert((*task, name.to_string()));
+            }
+        }
+        for (id, task, _) in old.difference(&strays) {
+            if strays.iter().any(|(i, t, _)| i == id && t == task) {
+                continue;
+            }
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.strays.remove(&(*task, name.to_string()));
+            }
+            self.plan_due = true;
+            self.mark_if_final(id);
+        }
+    }
+
+    /// Orders for a worker whose present report lists these tasks.
+    fn orders_for(
+        &mut self,
+        name: &str,
+        listed: &[TaskReport],
+        active: bool,
+        now: Now,
+    ) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let Some(m) = self.machines.get(name) else {
+            return orders;
+        };
+        let (session, seq) = (m.session, m.seq);
+        let (draining, returning) = (m.draining.is_some(), m.returning());
+        for t in listed {
+            let (Some((id, task)), true) = (split_task(&t.task), orders.len() < ORDERS_PER_ANSWER)
+            else {
+                continue;
+            };
+            let job = self.jobs.get(id);
+            let place = job
+                .and_then(|j| j.place(task))
+                .filter(|p| p.machine == name && p.attempt == t.attempt);
+            let order = match (t.phase, place) {
+                // The result of an ended task is forgotten only once it is recorded.
+                (TaskPhase::Ended, None) if job.is_none_or(|j| j.is_saved(task)) => Order::Forget {
+                    task: t.task.clone(),
+                    attempt: t.attempt,
+                },
+                (TaskPhase::Ended, _) => continue,
+                (_, None) => stop(&t.task, t.attempt, 0.0),
+                (phase, Some(p)) => match p.stop {
+                    // Saving goes on unless the job is of no use any more.
+                    Some(s) if phase == TaskPhase::Saving && s.grace_s > 0.0 => continue,
+                    Some(s) => stop(&t.task, t.attempt, s.grace_s),
+                    None => continue,
+                },
+            };
+            orders.push(order);
+        }
+        if !active || draining || returning {
+            return orders;
+        }
+        let places: Vec<(String, u32)> = m.places.iter().cloned().collect();
+        for (id, task) in places {
+            if orders.len() >= ORDERS_PER_ANSWER {
+                break;
+            }
+            let Some(job) = self.jobs.get_mut(&id).filter(|j| !j.aborted) else {
+                continue;
+            };
+            let saved = job.chunks.get(&chunk_of(task)).map_or(0, |c| c.saved);
+            let Some(place) = job.place_mut(task) else {
+                continue;
+            };
+            if place.stage == Stage::Ready && place.seq <= saved && place.stop.is_none() {
+                place.stage = Stage::Sent { session, seq };
+                orders.push(Order::Start {
+                    task: task_name(&id, task),
+                    attempt: place.attempt,
+                });
+            }
+        }
+        orders
+    }
+
+    /// Asks a task to stop.
+    pub(super) fn stop_task(
+        &mut self,
+        id: &str,
+        task: u32,
+        grace_s: f64,
+        why: &'static str,
+        now: Now,
+    ) {
+        let Some(place) = self.jobs.get_mut(id).and_then(|j| j.place_mut(task)) else {
+            return;
+        };
+        if place.stop.is_some() {
+            return;
+        }
+        if place.stage == Stage::Ready {
+            return self.free_place(id, task, why, now);
+        }
+        let since = now.mono;
+        place.stop = Some(Stop {
+            since,
+            grace_s,
+            why,
+        });
+        log::info!(
+            "event=stop task={id}/{task} machine={} grace_s={grace_s} why={why:?}",
+            place.machine
+        );
+        self.plan_due = true;
+    }
+
+    /// Machines that are silent, under notice, faulty or gone; gangs that can't go on.
+    pub(super) fn watch_machines(&mut self, active: bool, mail: &mut Mail) {
+        let now = mail.now;
+        let w = &self.settings.deployment.workers;
+        let lapse_ms = (w.lease_s * 1000.0 * DRIFT) as u64 + LEASE_MARGIN_MS;
+        let names: Vec<String> = self.machines.keys().cloned().collect();
+        for name in &names {
+            let Some(m) = self.machines.get(name) else {
+                continue;
+            };
+            // Its worker had seen our term, so nobody else's answers counted since; ours ended long enough
+            // ago for the lease to have run out, and with it every task is gone.
+            let lapsed = m.token_seen && m.last_answer.is_some_and(|at| now.mono > at + lapse_ms);
+            let why = match (m.failed, lapsed) {
+                (true, _) => Some("its machine failed"),
+                (_, true) => Some("its worker's lease ran out"),
+                _ => None,
+            };
+            if let Some(why) = why {
+                self.free_machine(name, why, now);
+            }
+        }
+        self.mind_notices(now);
+        self.mind_gangs(now);
+        if active {
+            self.send_direct(mail);
+        }
+    }
+
+    /// Frees all places of a machine on which certainly nothing runs.
+    pub(super) fn free_machine(&mut self, name: &str, why: &str, now: Now) {
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        let places: Vec<(String, u32)> = m.places.iter().cloned().collect();
+        let strays = std::mem::take(&mut m.strays);
+        for (id, task, _) in strays {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.strays.remove(&(task, name.to_string()));
+            }
+            self.mark_if_final(&id);
+        }
+        for (id, task) in places {
+            self.free_place(&id, task, why, now);
+        }
+        if let Some(m) = self.machines.get_mut(name) {
+            m.places.clear();
+        }
+    }
+
+    /// Under notice, tasks that can save do so in time; others run on in the hope of completing.
+    fn mind_notices(&mut self, now: Now) {
+        let mut stops = Vec::new();
+        for m in self.machines.values() {
+            let left = match (m.notice_at, m.draining) {
+                (Some(at), _) => at.saturating_sub(now.mono) as f64 / 1000.0,
+                (None, Some(_)) => f64::MAX,
+                _ => continue,
+            };
+            for (id, task) in &m.places {
+                let Some(job) = self.jobs.get(id) else {
+                    continue;
+                };
+                let saves = job.spec.checkpoint_s > 0.0;
+                let never_ran = job.place(*task).is_some_and(|p| p.running_since.is_none());
+                if saves || never_ran {
+                    let grace = (job.spec.save_s + 1.0).min(left);
+                    stops.push((id.clone(), *task, grace));
+                }
+            }
+        }
+        for (id, task, grace) in stops {
+            self.stop_task(&id, task, grace, "its machine is drained", now);
+        }
+    }
+
+    /// The rest of a gang that can't go on is stopped, so that it can start anew.
+    fn mind_gangs(&mut self, now: Now) {
+        let mut stops = Vec::new();
+        for (id, job) in &self.jobs {
+            if !job.is_gang() || job.placed == 0 || job.all_done() {
+                continue;
+            }
+            let stopping = job.places().find_map(|(_, p)| p.stop);
+            if job.broken || stopping.is_some() {
+                // An orderly stop goes to all; after a loss there is nothing left to save.
+                let grace = match stopping {
+                    Some(s) if !job.broken => s.grace_s,
+                    _ => 0.0,
+                };
+                for (task, p) in job.places().filter(|(_, p)| p.stop.is_none()) {
+                    let _ = p;
+                    stops.push((id.clone(), task, grace));
+                }
+            }
+        }
+        for (id, task, grace) in stops {
+            self.stop_task(&id, task, grace, "its gang stops", now);
+        }
+    }
+
+    /// Stops that should not wait for the next report: of cancelled jobs and of gangs.
+    fn send_direct(&mut self, mail: &mut Mail) {
+        let now = mail.now.mono;
+        let report_ms = (self.settings.deployment.workers.report_s * 1250.0) as u64;
+        let mut calls = Vec::new();
+        for (name, m) in &self.machines {
+            let (Some(addr), true) = (&m.addr, now > m.direct_at + KILL_REPEAT_MS) else {
+                continue;
+            };
+            let mut orders = Vec::new();
+            for (id, task) in &m.places {
+                let Some(job) = self.jobs.get(id) else {
+                    continue;
+                };
+                let Some((p, s)) = job.place(*task).and_then(|p| p.stop.map(|s| (p, s))) else {
+                    continue;
+                };
+                let fresh = now < s.since + KILL_REPEAT_MS;
+                let unheard = m.last_report.is_none_or(|at| now > at + report_ms);
+                let gang = job.is_gang() && job.tasks() > 1 && fresh;
+                if p.stage != Stage::Ready && (gang || (job.aborted && unheard)) {
+                    orders.push(stop(&task_name(id, *task), p.attempt, s.grace_s));
+                }
+            }
+            if !orders.is_empty() && self.kill_budget.take(now, 1.0) {
+                orders.truncate(ORDERS_PER_ANSWER);
+                let body = wire::encode(&DirectOrders {
+                    term: self.term,
+                    session: m.session,
+                    orders,
+                });
+                calls.push((name.clone(), addr.clone(), body));
+            }
+        }
+        for (name, addr, body) in calls {
+            if let Some(m) = self.machines.get_mut(&name) {
+                m.direct_at = now;
+            }
+            mail.direct.push((addr, body));
+        }
+    }
+}
+
+/// A direct call to a worker; its answer is not needed, the next report tells.
+pub(crate) fn direct_call(call: u64, addr: String, body: Vec<u8>) -> Output {
+    Output::Call {
+        call,
+        target: Target::Worker(addr),
+        method: "POST",
+        path: "/orders".into(),
+        body,
+        timeout_ms: ORDERS_TIMEOUT_MS,
+    }
+}
+
+fn stop(task: &str, attempt: u64, grace_s: f64) -> Order {
+    Order::Stop {
+        task: task.to_string(),
+        attempt,
+        grace_s,
+    }
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,19 @@
+//! The controller, without I/O: actors that own their state and are spoken to by messages.
+//!
+//! [`Node`] is the whole of one controller. It is fed [`Input`]s and the time, and yields [`Output`]s. Inside,
+//! the state client, the election, the gateway for users, the leader's books and the cloud client each own what
+//! they know; [`mail::Mail`] carries what they say to each other.
+
+mod cloud;
+mod election;
+mod gateway;
+mod leader;
+pub mod mail;
+mod node;
+mod peers;
+pub mod settings;
+mod state;
+
+pub use mail::{CallError, CallId, Input, Now, Output, RequestId, Target};
+pub use node::Node;
+pub use settings::{Operator, Settings};
--- /dev/null
+++ b/crates/control/src/node.rs
@@ -0,0 +1,500 @@
+//! One controller: routes what comes in to its actors, and what they say to each other.
+
+use crate::cloud::CloudClient;
+use crate::election::Election;
+use crate::gateway::Gateway;
+use crate::leader::{direct_call, Heard, Leader};
+use crate::mail::*;
+use crate::peers::{PeerState, Peers};
+use crate::settings::{Operator, Settings};
+use crate::state::{Priority, StateClient, StateOp, StateReply};
+use constants::*;
+use std::collections::{HashMap, VecDeque};
+use wire::peers::PeerMessage;
+use wire::records::TYPES;
+use wire::workers::{Elsewhere, Report};
+
+/// A user's request that a peer is handling for us.
+struct Forwarded {
+    request: RequestId,
+    since: u64,
+}
+
+/// One controller.
+pub struct Node {
+    settings: Settings,
+    operator: Operator,
+    state: StateClient,
+    cloud: CloudClient,
+    election: Election,
+    gateway: Gateway,
+    leader: Option<Leader>,
+    peers: Peers,
+    next_call: CallId,
+    out: VecDeque<Output>,
+    started: u64,
+    next_beat: u64,
+    next_types: u64,
+    types_busy: bool,
+    last_worker: Option<u64>,
+    silent_since: Option<u64>,
+    forwards: HashMap<u64, Forwarded>,
+    /// Requests that we handle for peers: (peer, its number) by our number.
+    serving: HashMap<RequestId, (String, u64)>,
+    next_forward: u64,
+    last_now: Now,
+}
+
+/// Numbers of requests forwarded by peers, apart from those of our own sockets.
+const PEER_REQUESTS: u64 = 1 << 62;
+
+impl Node {
+    /// A node that has just started. `boot` is drawn at random for each start.
+    pub fn new(settings: Settings, operator: Operator, now: Now, boot: u64) -> Self {
+        let d = &settings.deployment;
+        Node {
+            state: StateClient::new(d.state.rps, d.state.write_rps),
+            cloud: CloudClient::new(d.cloud.rps),
+            election: Election::new(&settings.label, boot),
+            gateway: Gateway::new(d.teams.clone()),
+            leader: None,
+            peers: Peers::new(settings.siblings.iter().map(|s| s.label.clone())),
+            next_call: 0,
+            out: VecDeque::new(),
+            started: now.mono,
+            next_beat: now.mono,
+            next_types: now.mono,
+            types_busy: false,
+            last_worker: None,
+            silent_since: None,
+            forwards: HashMap::new(),
+            serving: HashMap::new(),
+            next_forward: 0,
+            last_now: now,
+            operator,
+            settings,
+        }
+    }
+
+    /// The next thing to do, if any.
+    pub fn next_output(&mut self) -> Option<Output> {
+        self.out.pop_front()
+    }
+
+    /// Term, if this node leads.
+    pub fn leads(&self) -> Option<u64> {
+        self.election.leads()
+    }
+
+    /// When [`Node::tick`] wants to be called, on the steady clock.
+    pub fn next_wake(&self) -> u64 {
+        let mut at = self.election.next_wake().min(self.next_beat);
+        if let Some(leader) = &self.leader {
+            at = at.min(leader.next_wake());
+        }
+        for wake in [self.state.next_wake(), self.cloud.next_wake()] {
+            at = at.min(wake.unwrap_or(u64::MAX));
+        }
+        if !self.gateway.is_idle() || !self.forwards.is_empty() {
+            at = at.min(self.last_now.mono + 200);
+        }
+        at.max(self.last_now.mono + 1)
+    }
+
+    /// Something happened.
+    pub fn handle(&mut self, now: Now, input: Input) {
+        self.last_now = now;
+        let mut mail = Mail::new(now);
+        match input {
+            Input::Request {
+                id,
+                method,
+                target,
+                body,
+            } => self.on_request(id, &method, &target, &body, &mut mail),
+            Input::Reply { call, result } => self.on_reply(call, &result, &mut mail),
+            Input::Peer { from, message } => self.on_peer(&from, message, &mut mail),
+        }
+        self.deliver(mail);
+    }
+
+    /// Time passed.
+    pub fn tick(&mut self, now: Now) {
+        self.last_now = now;
+        let mut mail = Mail::new(now);
+        self.election.tick(&mut mail);
+        self.gateway.tick(&mut mail);
+        let active = self.active(now.mono);
+        if let Some(leader) = &mut self.leader {
+            leader.tick(active, &mut mail);
+        }
+        self.mind_leadership(&mut mail);
+        if !self.gateway.knows_types() && !self.types_busy && now.mono >= self.next_types {
+            self.types_busy = true;
+            mail.state
+                .push((Priority::User, StateOp::Get(TYPES.into()), StateTag::Types));
+        }
+        if now.mono >= self.next_beat {
+            self.next_beat = now.mono + PEER_BEAT_MS;
+            self.beat(&mut mail);
+        }
+        let late: Vec<u64> = self
+            .forwards
+            .iter()
+            .filter(|(_, f)| now.mono > f.since + USER_DEADLINE_MS)
+            .map(|(n, _)| *n)
+            .collect();
+        for number in late {
+            if let Some(f) = self.forwards.remove(&number) {
+                mail.refuse(f.request, 503, "no controller reaches the state service");
+            }
+        }
+        self.deliver(mail);
+    }
+
+    /// Whether the leader may decide and start things.
+    fn active(&self, now: u64) -> bool {
+        self.election.lease_holds(now)
+    }
+
+    /// Whether the leader may answer workers, that is keep their leases alive.
+    fn may_answer(&self, now: u64) -> bool {
+        if self.election.lease_holds(now) {
+            return true;
+        }
+        // Without the state service, jobs may have been cancelled that we don't know of: their tasks must not
+        // be kept alive beyond `cancel_s`. That can be excluded up to the last good answer we had, and beyond
+        // it as long as all peers say that they get none either.
+        let w = &self.settings.deployment.workers;
+        let allowance = (w.cancel_s - w.lease_s) * 1000.0;
+        let allowance = (allowance as u64).saturating_sub(KEEPALIVE_MARGIN_MS);
+        let good = self.state.last_good();
+        let clean_until = self.peers.no_state_until(good).unwrap_or(0).max(good);
+        good > 0 && now < clean_until + allowance
+    }
+
+    /// A leader whom the state service refuses alone, or whom no worker reaches, makes room for a peer.
+    fn mind_leadership(&mut self, mail: &mut Mail) {
+        let now = mail.now.mono;
+        let Some(leader) = &self.leader else {
+            self.silent_since = None;
+            return;
+        };
+        let out_of_state = !self.election.lease_holds(now)
+            && now > self.state.last_good() + LEADER_LEASE_MS
+            && self.peers.with_state(now).is_some();
+        let deaf = leader.hears_nobody(now) && self.peers.hear_workers(now);
+        if out_of_state {
+            self.election
+                .resign("a peer reaches the state service", mail);
+        } else if deaf {
+            let since = *self.silent_since.get_or_insert(now);
+            if now > since + 2 * PEER_FRESH_MS {
+                self.silent_since = None;
+                self.election
+                    .resign("workers reach a peer but not us", mail);
+            }
+        } else {
+            self.silent_since = None;
+        }
+    }
+
+    fn beat(&mut self, mail: &mut Mail) {
+        let now = mail.now.mono;
+        let ago = |at: u64| now.saturating_sub(at);
+        let state_ago_ms = match self.state.last_good() {
+            0 => ago(self.started),
+            at => ago(at),
+        };
+        let echoes: Vec<(String, u64)> = self
+            .peers
+            .echoes()
+            .map(|(l, sent)| (l.clone(), sent))
+            .collect();
+        for (label, echo) in echoes {
+            mail.out.push(Output::Peer {
+                to: Some(label),
+                message: PeerMessage::Beat {
+                    term: self.election.highest_term(),
+                    state_ago_ms,
+                    leads: self.election.leads().is_some(),
+                    worker_ago_ms: self.last_worker.map(ago),
+                    sent: now,
+                    echo,
+                },
+            });
+        }
+        if let Some(leader) = self.leader.as_ref().filter(|l| l.is_ready()) {
+            let jobs: Vec<(String, u32, u32)> = leader
+                .counts()
+                .filter(|(_, (done, running))| done + running > 0)
+                .take(2000)
+                .map(|(id, (done, running))| (id.clone(), done, running))
+                .collect();
+            self.gateway.counts = jobs
+                .iter()
+                .map(|(id, d, r)| (id.clone(), (*d, *r)))
+                .collect();
+            let term = leader.term;
+            mail.out.push(Output::Peer {
+                to: None,
+                message: PeerMessage::Counts { term, jobs },
+            });
+        }
+    }
+
+    fn on_request(
+        &mut self,
+        id: RequestId,
+        method: &str,
+        target: &str,
+        body: &[u8],
+        mail: &mut Mail,
+    ) {
+        let path = target.split('?').next().unwrap_or_default();
+        match (method, path) {
+            ("GET", "/ready") => mail.respond(id, 200, Vec::new()),
+            ("POST", "/v1/report") => self.on_report(id, body, mail),
+            (_, "/ready" | "/v1/report") => mail.refuse(id, 405, "method not allowed"),
+            _ if path == "/submissions" || path.starts_with("/submissions/") => {
+                let now = mail.now.mono;
+                let up = self.state.is_up(now);
+                if !up && id < PEER_REQUESTS {
+                    if let Some(peer) = self.peers.with_state(now) {
+                        let to = Some(peer.to_string());
+                        return self.forward(id, method, target, body, to, mail);
+                    }
+                }
+                self.gateway.on_request(id, method, path, body, up, mail);
+            }
+            _ => mail.refuse(id, 404, "no such path"),
+        }
+    }
+
+    fn forward(
+        &mut self,
+        request: RequestId,
+        method: &str,
+        target: &str,
+        body: &[u8],
+        to: Option<String>,
+        mail: &mut Mail,
+    ) {
+        if self.forwards.len() >= USER_INFLIGHT {
+            return mail.refuse(request, 503, "too many requests in hand");
+        }
+        self.next_forward += 1;
+        let since = mail.now.mono;
+        self.forwards
+            .insert(self.next_forward, Forwarded { request, since });
+        mail.out.push(Output::Peer {
+            to,
+            message: PeerMessage::Forward {
+                call: self.next_forward,
+                method: method.to_string(),
+                target: target.to_string(),
+                body: body.to_vec(),
+            },
+        });
+    }
+
+    fn on_report(&mut self, id: RequestId, body: &[u8], mail: &mut Mail) {
+        let now = mail.now;
+        self.last_worker = Some(now.mono);
+        let report: Report = match wire::decode(body) {
+            Ok(report) => report,
+            Err(why) => return mail.refuse(id, 400, &why.to_string()),
+        };
+        if self.leader.is_some() {
+            if !self.may_answer(now.mono) {
+                return mail.refuse(id, 503, "not entitled to answer workers");
+            }
+            let active = self.active(now.mono);
+            let Some(leader) = &mut self.leader else {
+                return;
+            };
+            match leader.on_report(report, active, now) {
+                Heard::Answer(answer) => mail.respond(id, 200, wire::encode(&answer)),
+                Heard::Newer(term) => {
+                    self.election.heard_term(term, mail);
+                    mail.refuse(id, 503, "a newer leader exists");
+                }
+            }
+            return;
+        }
+        let leader = self
+            .election
+            .leader_label(now.mono)
+            .filter(|l| *l != self.settings.label)
+            .map(str::to_string);
+        mail.respond(id, 421, wire::encode(&Elsewhere { leader }));
+    }
+
+    fn on_reply(
+        &mut self,
+        call: CallId,
+        result: &Result<(u16, Vec<u8>), CallError>,
+        mail: &mut Mail,
+    ) {
+        if let Some((tag, reply)) = self.state.on_reply(mail.now, call, result) {
+            return self.state_replied(tag, reply, mail);
+        }
+        if let Some((tag, op, reply)) = self.cloud.on_reply(mail.now.mono, call, result) {
+            let CloudTag::Leader(term, ask) = tag;
+            if let Some(leader) = self.leader.as_mut().filter(|l| l.term == term) {
+                leader.on_cloud(ask, op, reply, mail);
+            }
+        }
+    }
+
+    fn state_replied(&mut self, tag: StateTag, reply: StateReply, mail: &mut Mail) {
+        match tag {
+            StateTag::Election(step) => self.election.on_reply(step, reply, mail),
+            StateTag::User(number) => self.gateway.on_reply(number, reply, mail),
+            StateTag::Types => {
+                self.types_busy = false;
+                self.next_types = mail.now.mono + LEADER_POLL_MS;
+                if let StateReply::Item(item) = reply {
+                    if let Ok(types) = item.value.deserialized() {
+                        mail.news.push(News::Types(types));
+                    }
+                }
+            }
+            StateTag::Leader(term, ask) => {
+                if let Some(leader) = self.leader.as_mut().filter(|l| l.term == term) {
+                    leader.on_state(ask, reply, mail);
+                }
+            }
+        }
+    }
+
+    fn on_peer(&mut self, from: &str, message: PeerMessage, mail: &mut Mail) {
+        let now = mail.now.mono;
+        match message {
+            PeerMessage::Hello { .. } => {}
+            PeerMessage::Beat {
+                term,
+                state_ago_ms,
+                worker_ago_ms,
+                sent,
+                echo,
+                ..
+            } => {
+                let beat = PeerState {
+                    at: now,
+                    state_ago_ms,
+                    worker_ago_ms,
+                    sent,
+                    echo,
+                };
+                self.peers.on_beat(from, beat);
+                self.election.heard_term(term, mail);
+            }
+            PeerMessage::Counts { term, jobs } => {
+                if term >= self.election.highest_term() && self.leader.is_none() {
+                    self.gateway.counts = jobs.into_iter().map(|(id, d, r)| (id, (d, r))).collect();
+                }
+            }
+            PeerMessage::Forward {
+                call,
+                method,
+                target,
+                body,
+            } => {
+                self.next_forward += 1;
+                let id = PEER_REQUESTS + self.next_forward;
+                self.serving.insert(id, (from.to_string(), call));
+                self.on_request(id, &method, &target, &body, mail);
+            }
+            PeerMessage::Forwarded { call, status, body } => {
+                if let Some(f) = self.forwards.remove(&call) {
+                    mail.out.push(Output::Respond {
+                        id: f.request,
+                        status,
+                        retry_after_s: matches!(status, 429 | 503).then_some(RETRY_AFTER_S),
+                        body,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Passes on what actors said until nobody has anything left to say.
+    fn deliver(&mut self, mut mail: Mail) {
+        let now = mail.now;
+        let mut expired = Vec::new();
+        loop {
+            for (priority, op, tag) in std::mem::take(&mut mail.state) {
+                self.state.push(now, priority, op, tag);
+            }
+            for (op, tag) in std::mem::take(&mut mail.cloud) {
+                self.cloud.push(op, tag);
+            }
+            for (addr, body) in std::mem::take(&mut mail.direct) {
+                self.next_call += 1;
+                mail.out.push(direct_call(self.next_call, addr, body));
+            }
+            for news in std::mem::take(&mut mail.news) {
+                self.on_news(news, &mut mail);
+            }
+            self.state
+                .pump(&mut self.next_call, &mut mail, &mut expired);
+            self.cloud.pump(&mut self.next_call, &mut mail);
+            for (tag, reply) in expired.drain(..) {
+                self.state_replied(tag, reply, &mut mail);
+            }
+            for output in std::mem::take(&mut mail.out) {
+                self.emit(output);
+            }
+            let quiet = mail.state.is_empty()
+                && mail.cloud.is_empty()
+                && mail.direct.is_empty()
+                && mail.news.is_empty()
+                && mail.out.is_empty();
+            if quiet {
+                return;
+            }
+        }
+    }
+
+    fn emit(&mut self, output: Output) {
+        let output = match output {
+            Output::Respond {
+                id, status, body, ..
+            } if id >= PEER_REQUESTS => {
+                let Some((to, call)) = self.serving.remove(&id) else {
+                    return;
+                };
+                Output::Peer {
+                    to: Some(to),
+                    message: PeerMessage::Forwarded { call, status, body },
+                }
+            }
+            other => other,
+        };
+        self.out.push_back(output);
+    }
+
+    fn on_news(&mut self, news: News, mail: &mut Mail) {
+        self.gateway.on_news(&news);
+        match news {
+            News::Elected { term, version } => {
+                log::info!("event=elected term={term}");
+                self.cloud.clear();
+                self.state.drop_books();
+                let mut leader =
+                    Leader::new(&self.settings, &self.operator, term, version, mail.now);
+                leader.tick(false, mail);
+                self.leader = Some(leader);
+            }
+            News::Deposed(why) => {
+                log::info!("event=deposed why={why:?}");
+                self.leader = None;
+                self.cloud.clear();
+                self.state.drop_books();
+                self.election.fenced(mail);
+            }
+            News::JobOver(..) | News::Types(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/settings.rs
@@ -0,0 +1,264 @@
+//! Settings: the platform's file and the operators' own.
+
+use serde::{Deserialize, Serialize};
+
+/// The platform's settings file. Unknown fields are ignored.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    /// Name of this node.
+    pub label: String,
+    /// Its zone.
+    pub area: String,
+    /// Address for users, workers and health checks.
+    pub public_addr: String,
+    /// Address for the other controllers.
+    pub back: String,
+    /// The other controllers.
+    #[serde(default)]
+    pub siblings: Vec<Sibling>,
+    /// Services of the region.
+    pub outside: Outside,
+    /// The deployment.
+    pub deployment: Deployment,
+}
+
+/// Another controller.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Sibling {
+    /// Its name.
+    pub label: String,
+    /// Its address for controllers.
+    pub addr: String,
+}
+
+/// Services of the region.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Outside {
+    /// Cloud.
+    pub cloud: String,
+    /// State service.
+    pub state: String,
+}
+
+/// The deployment.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Deployment {
+    /// Zones.
+    #[serde(default)]
+    pub zones: Vec<String>,
+    /// Bound of the error of the time of day.
+    #[serde(default)]
+    pub time_bound_ms: f64,
+    /// Teams.
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    /// Aims.
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    /// Workers' times.
+    pub workers: Workers,
+    /// State service's limits.
+    pub state: StateLimits,
+    /// Cloud's limits.
+    pub cloud: CloudLimits,
+    /// What a controller may use.
+    pub quota: Quota,
+}
+
+/// A team.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    /// Name.
+    pub name: String,
+    /// Guaranteed CPUs.
+    #[serde(default)]
+    pub cpus: f64,
+    /// Most CPUs, 0 for no limit.
+    #[serde(default)]
+    pub cpus_max: f64,
+    /// Guaranteed GPUs.
+    #[serde(default)]
+    pub gpus: f64,
+    /// Most GPUs, 0 for no limit.
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// An aim.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    /// Kind: wait, finished, deadline, guarantee, submit, useful, price...
+    pub kind: String,
+    /// Class it speaks of.
+    #[serde(default)]
+    pub class: Option<String>,
+    /// Seconds.
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+/// Workers' times in seconds.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    /// Between reports.
+    pub report_s: f64,
+    /// Lease.
+    pub lease_s: f64,
+    /// Longest wait of a gang task.
+    pub gang_wait_s: f64,
+    /// Time in which gang tasks notice a loss.
+    pub gang_peer_s: f64,
+    /// Time in which tasks of a cancelled job must be gone.
+    pub cancel_s: f64,
+}
+
+/// State service's limits.
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    /// Requests a second.
+    pub rps: f64,
+    /// Writes a second.
+    pub write_rps: f64,
+    /// Size of a value in KiB.
+    pub value_kb: f64,
+    /// Writes of a transaction.
+    pub txn_ops: usize,
+}
+
+/// Cloud's limits.
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    /// Requests a second.
+    pub rps: f64,
+    /// Lag of the machine list in seconds.
+    pub list_lag_s: f64,
+}
+
+/// What a controller may use.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Quota {
+    /// Share of a core.
+    pub cpu: f64,
+    /// Memory in MB.
+    pub mem_mb: f64,
+    /// Sockets.
+    pub max_connections: usize,
+}
+
+fn positive(name: &str, v: f64) -> Result<(), String> {
+    if v.is_finite() && v > 0.0 {
+        Ok(())
+    } else {
+        Err(format!("{name}: must be a positive number, is {v}"))
+    }
+}
+
+impl Settings {
+    /// Checks ranges; the message names the field.
+    pub fn validate(&self) -> Result<(), String> {
+        let address = |name: &str, text: &str| {
+            text.parse::<std::net::SocketAddrV4>()
+                .map(|_| ())
+                .map_err(|_| format!("{name}: not an IPv4 address with port: {text:?}"))
+        };
+        if self.label.is_empty() {
+            return Err("label: must not be empty".into());
+        }
+        address("public_addr", &self.public_addr)?;
+        address("back", &self.back)?;
+        address("outside.cloud", &self.outside.cloud)?;
+        address("outside.state", &self.outside.state)?;
+        for s in &self.siblings {
+            address("siblings.addr", &s.addr)?;
+            if s.label == self.label {
+                return Err(format!("siblings.label: {:?} is this node itself", s.label));
+            }
+        }
+        let d = &self.deployment;
+        for (name, v) in [
+            ("deployment.workers.report_s", d.workers.report_s),
+            ("deployment.workers.lease_s", d.workers.lease_s),
+            ("deployment.workers.gang_wait_s", d.workers.gang_wait_s),
+            ("deployment.workers.gang_peer_s", d.workers.gang_peer_s),
+            ("deployment.workers.cancel_s", d.workers.cancel_s),
+            ("deployment.state.rps", d.state.rps),
+            ("deployment.state.write_rps", d.state.write_rps),
+            ("deployment.state.value_kb", d.state.value_kb),
+            ("deployment.cloud.rps", d.cloud.rps),
+            ("deployment.quota.cpu", d.quota.cpu),
+            ("deployment.quota.mem_mb", d.quota.mem_mb),
+        ] {
+            positive(name, v)?;
+        }
+        if d.state.txn_ops < 4 {
+            return Err("deployment.state.txn_ops: must be at least 4".into());
+        }
+        if d.quota.max_connections < 32 {
+            return Err("deployment.quota.max_connections: must be at least 32".into());
+        }
+        for t in &d.teams {
+            for v in [t.cpus, t.cpus_max, t.gpus, t.gpus_max] {
+                if !v.is_finite() || v < 0.0 {
+                    return Err(format!("deployment.teams: {:?} has the amount {v}", t.name));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether the objectives ask about money.
+    pub fn thrifty(&self) -> bool {
+        let money = |o: &Objective| matches!(o.kind.as_str(), "price" | "useful" | "cost");
+        self.deployment.objectives.iter().any(money)
+    }
+}
+
+/// Operators' own settings, all optional.
+#[derive(Debug, Clone, Serialize, Deserialize, schemars::JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    /// Tasks up to which an array skips sampling.
+    #[schemars(range(min = 0, max = 100_000))]
+    pub thin_tasks: u32,
+    /// Share of an array's tasks that are pilots.
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub pilot_share: f64,
+    /// Task-seconds up to which a job is in the first queue.
+    #[schemars(range(min = 1.0))]
+    pub first_bound_s: f64,
+    /// Growth of the queues' bounds and fall of their weights.
+    #[schemars(range(min = 1.1))]
+    pub queue_growth: f64,
+    /// Number of queues.
+    #[schemars(range(min = 1, max = 32))]
+    pub queues: usize,
+    /// Seconds a machine idles before it is given back, where the objectives ask about money.
+    #[schemars(range(min = 0.0))]
+    pub idle_return_s: f64,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Operator {
+            thin_tasks: constants::THIN_TASKS,
+            pilot_share: constants::PILOT_SHARE,
+            first_bound_s: constants::FIRST_BOUND,
+            queue_growth: constants::QUEUE_GROWTH,
+            queues: constants::QUEUES,
+            idle_return_s: constants::IDLE_RETURN_S,
+        }
+    }
+}
+
+impl Operator {
+    /// The numbers the scheduler works with.
+    pub fn policy(&self) -> sched::Policy {
+        sched::Policy {
+            thin_tasks: self.thin_tasks,
+            pilot_share: self.pilot_share,
+            first_bound: self.first_bound_s,
+            growth: self.queue_growth,
+            queues: self.queues,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,333 @@
+//! Client of the state service: budgets, priorities, and answers told apart.
+
+use crate::mail::{CallError, CallId, Mail, Now, Output, StateTag, Target};
+use constants::*;
+use std::collections::{HashMap, VecDeque};
+use wire::state::*;
+
+/// Order in which requests are sent when the budget is short.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Priority {
+    Leadership = 0,
+    User = 1,
+    Books = 2,
+}
+
+/// A request to the state service.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum StateOp {
+    Get(String),
+    List { prefix: &'static str, from: String },
+    Txn(Txn),
+    Grant { ttl_ms: u64 },
+    Renew(u64),
+    Revoke(u64),
+    Watch { prefix: &'static str, from: u64 },
+}
+
+/// What came of it.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum StateReply {
+    Item(Item),
+    Missing,
+    Page(Page),
+    Committed {
+        version: u64,
+    },
+    Conflict {
+        failed: Vec<String>,
+    },
+    Granted(u64),
+    Renewed,
+    NoLease,
+    Changes(Changes),
+    /// The watch must start anew.
+    TooOld,
+    /// Certainly not executed.
+    Refused,
+    /// Certainly not executed, and never will be as it is.
+    Invalid,
+    /// Executed, not executed, or yet to be executed.
+    Unknown,
+}
+
+/// Tokens that refill steadily.
+pub(crate) struct Bucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    at: u64,
+}
+
+impl Bucket {
+    pub fn new(rate: f64, burst: f64) -> Self {
+        Bucket {
+            rate,
+            burst: burst.max(1.0),
+            level: burst.max(1.0),
+            at: 0,
+        }
+    }
+
+    fn refill(&mut self, now: u64) {
+        let passed = now.saturating_sub(self.at) as f64 / 1000.0;
+        self.level = (self.level + passed * self.rate).min(self.burst);
+        self.at = now;
+    }
+
+    /// Takes `n`; a request larger than the burst is let through when the bucket is full.
+    pub fn take(&mut self, now: u64, n: f64) -> bool {
+        self.refill(now);
+        let enough = self.level + 1e-9 >= n.min(self.burst);
+        if enough {
+            self.level -= n;
+        }
+        enough
+    }
+
+    /// Milliseconds until `n` can be taken.
+    pub fn wait(&self, n: f64) -> u64 {
+        let lack = n.min(self.burst) - self.level;
+        if lack <= 0.0 {
+            0
+        } else {
+            (lack / self.rate * 1000.0).ceil() as u64 + 1
+        }
+    }
+}
+
+struct Waiting {
+    op: StateOp,
+    tag: StateTag,
+    since: u64,
+}
+
+pub(crate) struct StateClient {
+    requests: Bucket,
+    user_writes: Bucket,
+    book_writes: Bucket,
+    queues: [VecDeque<Waiting>; 3],
+    inflight: HashMap<CallId, (StateOp, StateTag)>,
+    paused_until: u64,
+    wake: Option<u64>,
+    last_good: u64,
+    last_bad: u64,
+}
+
+fn writes_of(op: &StateOp) -> f64 {
+    match op {
+        StateOp::Txn(txn) => txn.writes.len() as f64,
+        _ => 0.0,
+    }
+}
+
+impl StateClient {
+    pub fn new(rps: f64, write_rps: f64) -> Self {
+        let share = rps * STATE_RPS_SHARE;
+        let books = write_rps * STATE_WRITE_SHARE;
+        let users = write_rps * USER_WRITE_SHARE;
+        StateClient {
+            requests: Bucket::new(share, share * 0.5),
+            user_writes: Bucket::new(users, users),
+            book_writes: Bucket::new(books, books * 0.5),
+            queues: Default::default(),
+            inflight: HashMap::new(),
+            paused_until: 0,
+            wake: None,
+            last_good: 0,
+            last_bad: 0,
+        }
+    }
+
+    /// Whether requests have lately been answered well.
+    pub fn is_up(&self, now: u64) -> bool {
+        self.last_good > 0
+            && (self.last_good >= self.last_bad || now < self.last_good + STATE_DOWN_MS)
+    }
+
+    /// Moment of the last good answer.
+    pub fn last_good(&self) -> u64 {
+        self.last_good
+    }
+
+    pub fn push(&mut self, now: Now, priority: Priority, op: StateOp, tag: StateTag) {
+        let since = now.mono;
+        self.queues[priority as usize].push_back(Waiting { op, tag, since });
+    }
+
+    /// Forgets what a former leader's books still wanted.
+    pub fn drop_books(&mut self) {
+        self.queues[Priority::Books as usize].clear();
+    }
+
+    /// Sends what the budget allows. Requests that waited too long come back as refused.
+    pub fn pump(
+        &mut self,
+        next_call: &mut CallId,
+        mail: &mut Mail,
+        expired: &mut Vec<(StateTag, StateReply)>,
+    ) {
+        let now = mail.now.mono;
+        self.wake = None;
+        for p in 0..self.queues.len() {
+            loop {
+                let Some(first) = self.queues[p].front() else {
+                    break;
+                };
+                if p == Priority::User as usize && now > first.since + USER_DEADLINE_MS {
+                    if let Some(w) = self.queues[p].pop_front() {
+                        expired.push((w.tag, StateReply::Refused));
+                    }
+                    continue;
+                }
+                if p > 0 && now < self.paused_until {
+                    self.wake = Some(self.paused_until);
+                    break;
+                }
+                let writes = writes_of(&first.op);
+                let bucket = if p == Priority::User as usize {
+                    &mut self.user_writes
+                } else {
+                    &mut self.book_writes
+                };
+                bucket.refill(now);
+                self.requests.refill(now);
+                // Elections and renewals are never held back by what the books have used up.
+                let wait = if p == 0 {
+                    0
+                } else {
+                    bucket.wait(writes).max(self.requests.wait(1.0))
+                };
+                if wait > 0 {
+                    let at = now + wait;
+                    self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
+                    break;
+                }
+                bucket.level -= writes;
+                self.requests.level -= 1.0;
+                if let Some(w) = self.queues[p].pop_front() {
+                    *next_call += 1;
+                    mail.out.push(call_of(&w.op, *next_call));
+                    self.inflight.insert(*next_call, (w.op, w.tag));
+                }
+            }
+        }
+    }
+
+    pub fn next_wake(&self) -> Option<u64> {
+        self.wake
+    }
+
+    /// Takes a reply if the call was this actor's.
+    pub fn on_reply(
+        &mut self,
+        now: Now,
+        call: CallId,
+        result: &Result<(u16, Vec<u8>), CallError>,
+    ) -> Option<(StateTag, StateReply)> {
+        let (op, tag) = self.inflight.remove(&call)?;
+        let reply = read_reply(&op, result);
+        match &reply {
+            StateReply::Refused | StateReply::Unknown => {
+                // A watch that breaks says little: it may just have been open while the connection went.
+                if !matches!(op, StateOp::Watch { .. }) {
+                    self.last_bad = now.mono;
+                }
+                self.paused_until = now.mono + STATE_RETRY_MS;
+            }
+            _ => self.last_good = now.mono,
+        }
+        Some((tag, reply))
+    }
+}
+
+fn call_of(op: &StateOp, call: CallId) -> Output {
+    let (method, path, body, timeout_ms) = match op {
+        StateOp::Get(key) => ("GET", format!("/kv/{key}"), vec![], STATE_TIMEOUT_MS),
+        StateOp::List { prefix, from } => {
+            let from = if from.is_empty() {
+                String::new()
+            } else {
+                format!("&from={from}")
+            };
+            let path = format!("/kv?under={prefix}{from}&limit={LIST_PAGE}");
+            ("GET", path, vec![], 2 * STATE_TIMEOUT_MS)
+        }
+        StateOp::Txn(txn) => (
+            "POST",
+            "/multi".to_string(),
+            wire::encode(txn),
+            STATE_TIMEOUT_MS,
+        ),
+        StateOp::Grant { ttl_ms } => (
+            "POST",
+            "/leases".to_string(),
+            wire::encode(&LeaseAsk { ttl_ms: *ttl_ms }),
+            STATE_TIMEOUT_MS,
+        ),
+        StateOp::Renew(id) => (
+            "POST",
+            format!("/leases/{id}/renew"),
+            vec![],
+            STATE_TIMEOUT_MS,
+        ),
+        StateOp::Revoke(id) => ("DELETE", format!("/leases/{id}"), vec![], STATE_TIMEOUT_MS),
+        StateOp::Watch { prefix, from } => (
+            "GET",
+            format!("/changes?under={prefix}&from={from}&hold_ms={WATCH_HOLD_MS}"),
+            vec![],
+            WATCH_HOLD_MS + 2 * STATE_TIMEOUT_MS,
+        ),
+    };
+    Output::Call {
+        call,
+        target: Target::State,
+        method,
+        path,
+        body,
+        timeout_ms,
+    }
+}
+
+fn read_reply(op: &StateOp, result: &Result<(u16, Vec<u8>), CallError>) -> StateReply {
+    let (status, body) = match result {
+        Err(CallError::NotSent) => return StateReply::Refused,
+        Err(CallError::Unknown) => return StateReply::Unknown,
+        Ok((status, body)) => (*status, body.as_slice()),
+    };
+    match status {
+        429 | 503 => return StateReply::Refused,
+        500.. => return StateReply::Unknown,
+        _ => {}
+    }
+    let read = match (op, status) {
+        (StateOp::Get(_), 200) => wire::decode(body).map(StateReply::Item),
+        (StateOp::Get(_), 404) => Ok(StateReply::Missing),
+        (StateOp::List { .. }, 200) => wire::decode(body).map(StateReply::Page),
+        (StateOp::Txn(_), 200) => wire::decode(body).map(|a: TxnAnswer| StateReply::Committed {
+            version: a.revision,
+        }),
+        (StateOp::Txn(_), 409) => {
+            wire::decode(body).map(|a: TxnAnswer| StateReply::Conflict { failed: a.failed })
+        }
+        (StateOp::Txn(_), 400) => {
+            let lease = String::from_utf8_lossy(body).contains("no such lease");
+            Ok(if lease {
+                StateReply::NoLease
+            } else {
+                StateReply::Invalid
+            })
+        }
+        (StateOp::Grant { .. }, 200) => {
+            wire::decode(body).map(|l: Lease| StateReply::Granted(l.lease))
+        }
+        (StateOp::Renew(_), 200) => Ok(StateReply::Renewed),
+        (StateOp::Renew(_), 404) => Ok(StateReply::NoLease),
+        (StateOp::Revoke(_), _) => Ok(StateReply::Renewed),
+        (StateOp::Watch { .. }, 200) => wire::decode(body).map(StateReply::Changes),
+        (StateOp::Watch { .. }, 410) => Ok(StateReply::TooOld),
+        _ => Ok(StateReply::Invalid),
+    };
+    // A body that can't be read leaves open what was done.
+    read.unwrap_or(StateReply::Unknown)
+}
--- /dev/null
+++ b/crates/sched/src/fleet.rs
@@ -0,0 +1,124 @@
+//! How many machines of which type, zone and kind are wanted.
+
+use crate::{Res, View};
+
+/// A type of machine in a zone, spot or not.
+#[derive(Debug, Clone)]
+pub struct Offer {
+    /// Type, as the caller numbers them.
+    pub kind: usize,
+    /// Zone, as the caller numbers them.
+    pub zone: usize,
+    /// Whether it is spot.
+    pub spot: bool,
+    /// What a machine has.
+    pub total: Res,
+    /// Price an hour.
+    pub price: f64,
+    /// Whether it may be asked for now (the cloud did not just refuse it).
+    pub open: bool,
+}
+
+/// What fleet planning sees besides the round's view.
+#[derive(Debug, Clone, Default)]
+pub struct FleetView {
+    /// What the cloud offers.
+    pub offers: Vec<Offer>,
+    /// Machines on their way, by offer.
+    pub coming: Vec<u32>,
+    /// Whether the objectives ask about money.
+    pub thrifty: bool,
+}
+
+/// Machines to ask for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RentWish {
+    /// Offer.
+    pub offer: usize,
+    /// How many.
+    pub count: u32,
+}
+
+/// Machines that the waiting work needs beyond what is there and coming.
+///
+/// Waiting tasks are packed into free and coming room; what is left over is packed into new machines, each task
+/// on the offer with the lowest price for the task. Where money does not count, every open offer is asked for
+/// one machine more than is needed, up to what the cloud gives.
+pub fn plan_fleet(view: &View, fleet: &FleetView) -> Vec<RentWish> {
+    let mut wishes = vec![0u32; fleet.offers.len()];
+    if !fleet.thrifty {
+        for (i, offer) in fleet.offers.iter().enumerate() {
+            wishes[i] = u32::from(offer.open);
+        }
+        return to_list(wishes);
+    }
+    let mut rooms: Vec<(usize, usize, bool, Res)> = view
+        .machines
+        .iter()
+        .filter(|m| m.usable)
+        .map(|m| (m.kind, m.zone, m.spot, m.free))
+        .collect();
+    for (offer, n) in fleet.offers.iter().zip(&fleet.coming) {
+        for _ in 0..*n {
+            rooms.push((offer.kind, offer.zone, offer.spot, offer.total));
+        }
+    }
+    let mut teams = view.teams.clone();
+    let mut order: Vec<usize> = (0..view.jobs.len()).collect();
+    order.sort_by_key(|&j| (!view.jobs[j].gang, view.jobs[j].order));
+    for j in order {
+        let job = &view.jobs[j];
+        for _ in &job.waiting {
+            if !teams[job.team].allows(&job.task) {
+                break;
+            }
+            let suits = |kind: usize, zone: usize, spot: bool| {
+                (job.spot || !spot)
+                    && job.zone.is_none_or(|z| z == zone)
+                    && job.kinds.as_ref().is_none_or(|k| k.contains(&kind))
+            };
+            teams[job.team].used.add(&job.task);
+            let there = rooms
+                .iter_mut()
+                .filter(|(k, z, s, room)| suits(*k, *z, *s) && room.fits(&job.task))
+                .min_by(|a, b| {
+                    (a.3.gpus, !a.2)
+                        .partial_cmp(&(b.3.gpus, !b.2))
+                        .unwrap_or(std::cmp::Ordering::Equal)
+                });
+            if let Some((_, _, _, room)) = there {
+                room.sub(&job.task);
+                continue;
+            }
+            let cheapest = fleet
+                .offers
+                .iter()
+                .enumerate()
+                .filter(|(_, o)| o.open && suits(o.kind, o.zone, o.spot) && o.total.fits(&job.task))
+                .map(|(i, o)| {
+                    (
+                        o.price / f64::from(o.total.holds(&job.task, 1000).max(1)),
+                        i,
+                    )
+                })
+                .min_by(|a, b| a.0.total_cmp(&b.0));
+            if let Some((_, i)) = cheapest {
+                wishes[i] += 1;
+                let o = &fleet.offers[i];
+                let mut room = o.total;
+                room.sub(&job.task);
+                rooms.push((o.kind, o.zone, o.spot, room));
+            }
+        }
+    }
+    to_list(wishes)
+}
+
+fn to_list(wishes: Vec<u32>) -> Vec<RentWish> {
+    wishes
+        .into_iter()
+        .enumerate()
+        .filter(|(_, n)| *n > 0)
+        .map(|(offer, count)| RentWish { offer, count })
+        .collect()
+}
--- /dev/null
+++ b/crates/sched/src/sampling.rs
@@ -0,0 +1,74 @@
+//! Pilots, sizes and queues.
+
+use constants::{FIRST_BOUND, PILOT_SHARE, QUEUES, QUEUE_GROWTH, THIN_TASKS};
+
+/// Numbers of the design that operators may set.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Policy {
+    /// Tasks up to which an array skips sampling.
+    pub thin_tasks: u32,
+    /// Share of an array's tasks that are pilots.
+    pub pilot_share: f64,
+    /// Task-seconds up to which a job is in the first queue.
+    pub first_bound: f64,
+    /// Growth of bounds and fall of weights from queue to queue.
+    pub growth: f64,
+    /// Number of queues.
+    pub queues: usize,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Policy {
+            thin_tasks: THIN_TASKS,
+            pilot_share: PILOT_SHARE,
+            first_bound: FIRST_BOUND,
+            growth: QUEUE_GROWTH,
+            queues: QUEUES,
+        }
+    }
+}
+
+/// Number of pilots of an array; 0 if it is thin and skips sampling.
+pub fn pilots_of(policy: &Policy, tasks: u32) -> u32 {
+    if tasks <= policy.thin_tasks {
+        return 0;
+    }
+    ((policy.pilot_share * f64::from(tasks)) as u32).max(1)
+}
+
+/// Queue of a job with that many task-seconds.
+pub fn queue_of(policy: &Policy, size: f64) -> usize {
+    let mut bound = policy.first_bound;
+    for queue in 0..policy.queues.saturating_sub(1) {
+        if size <= bound {
+            return queue;
+        }
+        bound *= policy.growth;
+    }
+    policy.queues.saturating_sub(1)
+}
+
+/// Weight of a queue when free room is shared.
+pub fn weight_of(policy: &Policy, queue: usize) -> f64 {
+    policy.growth.powi(-(queue.min(64) as i32))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn pilots_queues_and_weights_start_at_the_designs_values() {
+        let p = Policy::default();
+        assert_eq!(
+            [1, 7, 8, 39, 40, 100_000].map(|n| pilots_of(&p, n)),
+            [0, 0, 1, 1, 2, 5_000]
+        );
+        assert_eq!(
+            [0.0, 600.0, 601.0, 6_001.0, 1e30].map(|s| queue_of(&p, s)),
+            [0, 0, 1, 2, 9]
+        );
+        assert!((weight_of(&p, 0) / weight_of(&p, 1) - 10.0).abs() < 1e-9);
+    }
+}
--- /dev/null
+++ b/crates/vetchmount/src/daemon.rs
@@ -0,0 +1,382 @@
+//! The loop: sockets and time in, the node's outputs out.
+
+use crate::clients::{Call, Clients, Outcome};
+use crate::net::{Conn, Listener};
+use crate::servers::{Arrived, Servers};
+use constants::*;
+use control::{Input, Node, Now, Operator, Output, Settings, Target};
+use polling::{Events, Poller};
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use wire::peers::{decode_frame, encode_frame, PeerMessage};
+
+const PUBLIC: usize = 0;
+const BACK: usize = 1;
+const FIRST_CONN: usize = 2;
+
+/// A connection with a peer, in the direction it was opened.
+struct PeerLink {
+    conn: Conn,
+    buf: Vec<u8>,
+    /// Label; of an incoming connection once it has said hello.
+    label: Option<String>,
+    connected: bool,
+    since: u64,
+}
+
+/// A peer we open a connection to.
+struct Sibling {
+    label: String,
+    addr: SocketAddrV4,
+    key: Option<usize>,
+    retry_at: u64,
+}
+
+struct Daemon {
+    poller: Poller,
+    public: Listener,
+    back: Listener,
+    servers: Servers,
+    clients: Clients,
+    peers: HashMap<usize, PeerLink>,
+    siblings: Vec<Sibling>,
+    next_key: usize,
+    node: Node,
+    label: String,
+    state: SocketAddrV4,
+    cloud: SocketAddrV4,
+    start: Instant,
+}
+
+fn address(text: &str) -> Result<SocketAddrV4, String> {
+    text.parse().map_err(|_| format!("bad address {text:?}"))
+}
+
+/// Runs until the process is killed.
+pub fn run(settings: Settings, operator: Operator) -> Result<(), String> {
+    let poller = Poller::new().map_err(|e| format!("poller: {e}"))?;
+    let bind = |addr: &str, key| {
+        Listener::bind(&poller, address(addr)?, key).map_err(|e| format!("{addr}: {e}"))
+    };
+    let public = bind(&settings.public_addr, PUBLIC)?;
+    let back = bind(&settings.back, BACK)?;
+    let siblings = settings
+        .siblings
+        .iter()
+        .map(|s| {
+            Ok(Sibling {
+                label: s.label.clone(),
+                addr: address(&s.addr)?,
+                key: None,
+                retry_at: 0,
+            })
+        })
+        .collect::<Result<Vec<_>, String>>()?;
+    let limit = settings.deployment.quota.max_connections as f64 * SERVER_SOCKET_SHARE;
+    let start = Instant::now();
+    let boot = fastrand::u64(..) >> 12;
+    let label = settings.label.clone();
+    let (state, cloud) = (
+        address(&settings.outside.state)?,
+        address(&settings.outside.cloud)?,
+    );
+    log::info!(
+        "event=start node={label} boot={boot} public={} back={}",
+        settings.public_addr,
+        settings.back
+    );
+    let node = Node::new(settings, operator, now_since(start), boot);
+    let daemon = Daemon {
+        poller,
+        public,
+        back,
+        servers: Servers::new(limit as usize),
+        clients: Clients::default(),
+        peers: HashMap::new(),
+        siblings,
+        next_key: FIRST_CONN,
+        node,
+        label,
+        state,
+        cloud,
+        start,
+    };
+    daemon.serve()
+}
+
+fn now_since(start: Instant) -> Now {
+    let unix = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64);
+    // Moments start at 1 s, so that 0 can stand for never.
+    let mono = 1_000 + start.elapsed().as_millis() as u64;
+    Now { mono, unix }
+}
+
+impl Daemon {
+    fn now(&self) -> Now {
+        now_since(self.start)
+    }
+
+    fn serve(mut self) -> Result<(), String> {
+        let mut events = Events::new();
+        let mut buf = vec![0u8; READ_CHUNK];
+        let mut arrived = Vec::new();
+        let mut done = Vec::new();
+        loop {
+            let now = self.now().mono;
+            let wake = self.node.next_wake().min(self.clients.next_wake());
+            let wait = wake.saturating_sub(now).min(LOOP_MAX_MS);
+            events.clear();
+            self.poller
+                .wait(&mut events, Some(Duration::from_millis(wait)))
+                .map_err(|e| format!("poll: {e}"))?;
+            let now = self.now();
+            for event in events.iter() {
+                self.on_event(event.key, &mut buf, now.mono, &mut arrived, &mut done);
+            }
+            self.clients
+                .expire(&self.poller, &mut self.next_key, now.mono, &mut done);
+            self.feed(now, &mut arrived, &mut done);
+            if now.mono >= self.node.next_wake() {
+                self.node.tick(now);
+            }
+            self.mind_siblings(now.mono);
+            self.feed(now, &mut arrived, &mut done);
+        }
+    }
+
+    fn on_event(
+        &mut self,
+        key: usize,
+        buf: &mut [u8],
+        now: u64,
+        arrived: &mut Vec<Arrived>,
+        done: &mut Vec<Outcome>,
+    ) {
+        if key == PUBLIC {
+            while let Some(stream) = self.public.accept() {
+                let key = self.new_key();
+                if let Ok(conn) = Conn::new(&self.poller, stream, key, false) {
+                    self.servers.add(&self.poller, conn, key, now);
+                }
+            }
+        } else if key == BACK {
+            while let Some(stream) = self.back.accept() {
+                let key = self.new_key();
+                if let Ok(conn) = Conn::new(&self.poller, stream, key, false) {
+                    self.add_peer(key, conn, None, true, now);
+                }
+            }
+        } else if self.servers.has(key) {
+            self.servers.on_event(&self.poller, key, buf, now, arrived);
+        } else if self.clients.has(key) {
+            self.clients
+                .on_event(&self.poller, key, buf, &mut self.next_key, now, done);
+        } else {
+            self.on_peer_event(key, buf);
+        }
+    }
+
+    fn new_key(&mut self) -> usize {
+        self.next_key += 1;
+        self.next_key - 1
+    }
+
+    /// Gives the node what has happened, and carries out what it wants, until nothing is left.
+    fn feed(&mut self, now: Now, arrived: &mut Vec<Arrived>, done: &mut Vec<Outcome>) {
+        loop {
+            for a in std::mem::take(arrived) {
+                let http::Request {
+                    method,
+                    target,
+                    body,
+                    ..
+                } = a.request;
+                self.node.handle(
+                    now,
+                    Input::Request {
+                        id: a.id,
+                        method,
+                        target,
+                        body,
+                    },
+                );
+            }
+            for (call, result) in std::mem::take(done) {
+                self.node.handle(now, Input::Reply { call, result });
+            }
+            self.carry_out(now, arrived, done);
+            if arrived.is_empty() && done.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Now, arrived: &mut Vec<Arrived>, done: &mut Vec<Outcome>) {
+        while let Some(output) = self.node.next_output() {
+            match output {
+                Output::Respond {
+                    id,
+                    status,
+                    retry_after_s,
+                    body,
+                } => {
+                    self.servers
+                        .respond(&self.poller, id, status, retry_after_s, &body, arrived);
+                }
+                Output::Call {
+                    call,
+                    target,
+                    method,
+                    path,
+                    body,
+                    timeout_ms,
+                } => {
+                    let addr = match &target {
+                        Target::State => Ok(self.state),
+                        Target::Cloud => Ok(self.cloud),
+                        Target::Worker(text) => address(text),
+                    };
+                    let Ok(addr) = addr else {
+                        done.push((call, Err(control::CallError::NotSent)));
+                        continue;
+                    };
+                    let call = Call {
+                        id: call,
+                        addr,
+                        method,
+                        path,
+                        body,
+                        deadline: now.mono + timeout_ms,
+                    };
+                    self.clients
+                        .call(&self.poller, call, &mut self.next_key, now.mono, done);
+                }
+                Output::Peer { to, message } => self.say(to.as_deref(), &message),
+            }
+        }
+    }
+
+    fn add_peer(
+        &mut self,
+        key: usize,
+        conn: Conn,
+        label: Option<String>,
+        connected: bool,
+        now: u64,
+    ) {
+        // Few controllers exist; anything beyond that many connections is not one of them.
+        if self.peers.len() > 4 * self.siblings.len() + 8 {
+            return conn.close(&self.poller);
+        }
+        let link = PeerLink {
+            conn,
+            buf: Vec::new(),
+            label,
+            connected,
+            since: now,
+        };
+        self.peers.insert(key, link);
+    }
+
+    fn close_peer(&mut self, key: usize) {
+        if let Some(link) = self.peers.remove(&key) {
+            link.conn.close(&self.poller);
+        }
+        for s in &mut self.siblings {
+            if s.key == Some(key) {
+                s.key = None;
+            }
+        }
+    }
+
+    fn on_peer_event(&mut self, key: usize, buf: &mut [u8]) {
+        let Some(link) = self.peers.get_mut(&key) else {
+            return;
+        };
+        if !link.connected {
+            if link.conn.connected().is_err() {
+                return self.close_peer(key);
+            }
+            link.connected = true;
+        }
+        let inbox = &mut link.buf;
+        let open = link.conn.read(buf, |bytes| inbox.extend_from_slice(bytes));
+        let flushed = link.conn.flush(&self.poller);
+        let mut bad = flushed.is_err() || !matches!(open, Ok(true));
+        let mut heard = Vec::new();
+        loop {
+            match decode_frame(&mut link.buf) {
+                Ok(Some(PeerMessage::Hello { node })) => link.label = Some(node),
+                Ok(Some(message)) => match &link.label {
+                    Some(label) => heard.push((label.clone(), message)),
+                    None => bad = true,
+                },
+                Ok(None) => break,
+                Err(why) => {
+                    log::info!("event=peer_bad_frame why={why}");
+                    bad = true;
+                    break;
+                }
+            }
+        }
+        for (from, message) in heard {
+            let now = self.now();
+            self.node.handle(now, Input::Peer { from, message });
+        }
+        if bad {
+            self.close_peer(key);
+        }
+    }
+
+    /// Keeps a connection open to each peer.
+    fn mind_siblings(&mut self, now: u64) {
+        for i in 0..self.siblings.len() {
+            let s = &self.siblings[i];
+            if let Some(key) = s.key {
+                let stuck = self.peers.get(&key).is_none_or(|l| {
+                    (!l.connected && now > l.since + CONNECT_TIMEOUT_MS)
+                        || l.conn.backlog() > PEER_BACKLOG
+                });
+                if stuck {
+                    self.close_peer(key);
+                }
+                continue;
+            }
+            if now < s.retry_at {
+                continue;
+            }
+            let (addr, label) = (s.addr, s.label.clone());
+            self.siblings[i].retry_at = now + PEER_RETRY_MS;
+            let key = self.new_key();
+            if let Ok(mut conn) = Conn::connect(&self.poller, addr, key) {
+                let node = self.label.clone();
+                encode_frame(conn.out(), &PeerMessage::Hello { node });
+                self.add_peer(key, conn, Some(label), false, now);
+                self.siblings[i].key = Some(key);
+            }
+        }
+    }
+
+    fn say(&mut self, to: Option<&str>, message: &PeerMessage) {
+        let mut frame = Vec::new();
+        encode_frame(&mut frame, message);
+        let keys: Vec<usize> = self
+            .siblings
+            .iter()
+            .filter(|s| to.is_none_or(|label| label == s.label))
+            .filter_map(|s| s.key)
+            .collect();
+        for key in keys {
+            let Some(link) = self.peers.get_mut(&key) else {
+                continue;
+            };
+            link.conn.out().extend_from_slice(&frame);
+            if link.connected && link.conn.flush(&self.poller).is_err() {
+                self.close_peer(key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/vetchmount/src/servers.rs
@@ -0,0 +1,166 @@
+//! Connections that others opened: users, workers, the load balancer.
+
+use crate::net::Conn;
+use constants::*;
+use http::{encode_response, ParseError, RequestParser};
+use polling::Poller;
+use std::collections::HashMap;
+
+struct Served {
+    conn: Conn,
+    parser: RequestParser,
+    /// Request being handled, and whether the connection ends after it.
+    open: Option<(u64, bool)>,
+    closing: bool,
+    last_used: u64,
+}
+
+/// A whole request that arrived.
+pub struct Arrived {
+    /// Its number.
+    pub id: u64,
+    /// What was asked.
+    pub request: http::Request,
+}
+
+/// All connections of callers.
+pub struct Servers {
+    conns: HashMap<usize, Served>,
+    by_request: HashMap<u64, usize>,
+    next_request: u64,
+    limit: usize,
+}
+
+impl Servers {
+    /// Room for that many.
+    pub fn new(limit: usize) -> Self {
+        Servers {
+            conns: HashMap::new(),
+            by_request: HashMap::new(),
+            next_request: 0,
+            limit,
+        }
+    }
+
+    /// Whether a key is one of these connections.
+    pub fn has(&self, key: usize) -> bool {
+        self.conns.contains_key(&key)
+    }
+
+    /// Takes a new connection, making room by closing the one that idled longest.
+    pub fn add(&mut self, poller: &Poller, conn: Conn, key: usize, now: u64) {
+        if self.conns.len() >= self.limit {
+            let idle = self
+                .conns
+                .iter()
+                .filter(|(_, s)| s.open.is_none() && now > s.last_used + IDLE_CONN_MS)
+                .min_by_key(|(_, s)| s.last_used)
+                .map(|(k, _)| *k);
+            match idle {
+                Some(k) => self.close(poller, k),
+                None => return conn.close(poller),
+            }
+        }
+        let served = Served {
+            conn,
+            parser: RequestParser::default(),
+            open: None,
+            closing: false,
+            last_used: now,
+        };
+        self.conns.insert(key, served);
+    }
+
+    fn close(&mut self, poller: &Poller, key: usize) {
+        if let Some(s) = self.conns.remove(&key) {
+            if let Some((request, _)) = s.open {
+                self.by_request.remove(&request);
+            }
+            s.conn.close(poller);
+        }
+    }
+
+    /// Something can be read or written.
+    pub fn on_event(
+        &mut self,
+        poller: &Poller,
+        key: usize,
+        buf: &mut [u8],
+        now: u64,
+        arrived: &mut Vec<Arrived>,
+    ) {
+        let Some(s) = self.conns.get_mut(&key) else {
+            return;
+        };
+        s.last_used = now;
+        let parser = &mut s.parser;
+        let open = s.conn.read(buf, |bytes| parser.feed(bytes));
+        let flushed = s.conn.flush(poller);
+        let done = s.closing && s.conn.backlog() == 0;
+        if !matches!(open, Ok(true)) || flushed.is_err() || done {
+            return self.close(poller, key);
+        }
+        self.next(poller, key, arrived);
+    }
+
+    /// Hands out the next request of a connection that has none open.
+    fn next(&mut self, poller: &Poller, key: usize, arrived: &mut Vec<Arrived>) {
+        let Some(s) = self.conns.get_mut(&key) else {
+            return;
+        };
+        if s.open.is_some() || s.closing {
+            return;
+        }
+        match s.parser.next_request() {
+            Ok(None) => {}
+            Ok(Some(request)) => {
+                self.next_request += 1;
+                s.open = Some((self.next_request, request.close));
+                self.by_request.insert(self.next_request, key);
+                arrived.push(Arrived {
+                    id: self.next_request,
+                    request,
+                });
+            }
+            Err(why) => {
+                let status = if why == ParseError::TooLarge {
+                    413
+                } else {
+                    400
+                };
+                encode_response(s.conn.out(), status, None, b"", true);
+                s.closing = true;
+                let failed = s.conn.flush(poller).is_err();
+                if failed || s.conn.backlog() == 0 {
+                    self.close(poller, key);
+                }
+            }
+        }
+    }
+
+    /// Answers a request; may hand out the next one of its connection.
+    pub fn respond(
+        &mut self,
+        poller: &Poller,
+        id: u64,
+        status: u16,
+        retry_after_s: Option<u32>,
+        body: &[u8],
+        arrived: &mut Vec<Arrived>,
+    ) {
+        let Some(key) = self.by_request.remove(&id) else {
+            return;
+        };
+        let Some(s) = self.conns.get_mut(&key) else {
+            return;
+        };
+        let close = s.open.take().is_some_and(|(_, close)| close);
+        encode_response(s.conn.out(), status, retry_after_s, body, close);
+        s.closing |= close;
+        let failed = s.conn.flush(poller).is_err();
+        if failed || (s.closing && s.conn.backlog() == 0) {
+            return self.close(poller, key);
+        }
+        self.next(poller, key, arrived);
+    }
+}
--- /dev/null
+++ b/crates/vetchmount/src/settings.rs
@@ -0,0 +1,119 @@
+//! Reading settings files; every message names file and field.
+
+use control::{Operator, Settings};
+use std::path::Path;
+
+fn read(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// Reads and checks the platform's file.
+pub fn load(path: &Path) -> Result<Settings, String> {
+    parse(&read(path)?).map_err(|why| format!("{}: {why}", path.display()))
+}
+
+fn one_line(text: &str) -> String {
+    let lines: Vec<&str> = text.lines().map(str::trim).collect();
+    lines.join(" ")
+}
+
+fn parse(text: &str) -> Result<Settings, String> {
+    let settings: Settings = toml::from_str(text).map_err(|e| one_line(&e.to_string()))?;
+    settings.validate()?;
+    Ok(settings)
+}
+
+/// The schema of the operators' settings, generated from the types.
+pub fn schema_text() -> String {
+    serde_json::to_string_pretty(&schemars::schema_for!(Operator)).unwrap_or_default()
+}
+
+/// Reads and checks the operators' own settings.
+pub fn load_operator(path: &Path) -> Result<Operator, String> {
+    parse_operator(&read(path)?).map_err(|why| format!("{}: {why}", path.display()))
+}
+
+fn parse_operator(text: &str) -> Result<Operator, String> {
+    let value: serde_json::Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    let schema: serde_json::Value =
+        serde_json::from_str(&schema_text()).map_err(|e| e.to_string())?;
+    let validator = jsonschema::validator_for(&schema).map_err(|e| one_line(&e.to_string()))?;
+    if let Some(error) = validator.iter_errors(&value).next() {
+        let field = error.instance_path.to_string();
+        let field = if field.is_empty() { "/" } else { &field };
+        return Err(format!("{field}: {}", one_line(&error.to_string())));
+    }
+    serde_json::from_value(value).map_err(|e| e.to_string())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"
+label = "a"
+area = "z"
+public_addr = "127.0.0.1:1"
+back = "127.0.0.1:2"
+later = "ignored"
+[outside]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[deployment.workers]
+report_s = 2.0
+lease_s = 12.0
+gang_wait_s = 35.0
+gang_peer_s = 8.0
+cancel_s = 37.0
+[deployment.state]
+rps = 150.0
+write_rps = 50.0
+value_kb = 16.0
+txn_ops = 12
+[deployment.cloud]
+rps = 2.0
+list_lag_s = 10.0
+[deployment.quota]
+cpu = 0.1
+mem_mb = 72.0
+max_connections = 1200
+"#;
+
+    #[test]
+    fn good_settings_pass_and_bad_ones_name_the_field() {
+        assert!(parse(GOOD).is_ok());
+        for (from, to, field) in [
+            ("lease_s = 12.0", "", "lease_s"),
+            (
+                "lease_s = 12.0",
+                "lease_s = -1.0",
+                "deployment.workers.lease_s",
+            ),
+            ("\"127.0.0.1:4\"", "\"nowhere\"", "outside.state"),
+            ("txn_ops = 12", "txn_ops = 1", "deployment.state.txn_ops"),
+            ("label = \"a\"", "label = 4", "label"),
+        ] {
+            let why = parse(&GOOD.replace(from, to)).expect_err(to);
+            assert!(why.contains(field), "{why} should name {field}");
+            assert!(!why.contains('\n'), "{why:?} should be one line");
+        }
+    }
+
+    #[test]
+    fn the_committed_schema_is_the_generated_one_and_is_enforced() {
+        let committed = include_str!("../../../schema/operator.schema.json");
+        assert_eq!(committed.trim(), schema_text().trim());
+        assert_eq!(
+            parse_operator(r#"{"thin_tasks": 3}"#).map(|o| o.thin_tasks),
+            Ok(3)
+        );
+        for (text, field) in [
+            (r#"{"pilot_share": 2.0}"#, "pilot_share"),
+            (r#"{"thin": 2}"#, "thin"),
+            (r#"{"queues": "x"}"#, "queues"),
+        ] {
+            let why = parse_operator(text).expect_err(text);
+            assert!(why.contains(field), "{why} should name {field}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/peers.rs
@@ -0,0 +1,126 @@
+//! What controllers say to each other: `postcard` frames behind a length and a version.
+
+use constants::{MAX_FRAME_BYTES, PEER_VERSION};
+use serde::{Deserialize, Serialize};
+
+/// A message between controllers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// First on every connection: who speaks.
+    Hello {
+        /// Label of the node.
+        node: String,
+    },
+    /// Regular sign of life.
+    Beat {
+        /// Highest term the node knows.
+        term: u64,
+        /// Milliseconds since the state service last answered it well.
+        state_ago_ms: u64,
+        /// Whether it leads in that term.
+        leads: bool,
+        /// Milliseconds since a worker last asked it, if any did.
+        worker_ago_ms: Option<u64>,
+        /// Sender's steady clock.
+        sent: u64,
+        /// `sent` of the last beat the sender had from the receiver.
+        echo: u64,
+    },
+    /// Tasks (done, running) of open jobs, from the leader, for display.
+    Counts {
+        /// Term of the leader.
+        term: u64,
+        /// Job, tasks done, tasks running.
+        jobs: Vec<(String, u32, u32)>,
+    },
+    /// A user's request for a node that reaches the state service.
+    Forward {
+        /// Number, the sender's own.
+        call: u64,
+        /// HTTP method.
+        method: String,
+        /// HTTP target.
+        target: String,
+        /// Body.
+        body: Vec<u8>,
+    },
+    /// Answer to a forwarded request.
+    Forwarded {
+        /// Its number.
+        call: u64,
+        /// HTTP status.
+        status: u16,
+        /// Body.
+        body: Vec<u8>,
+    },
+}
+
+/// Appends a frame to `out`.
+pub fn encode_frame(out: &mut Vec<u8>, message: &PeerMessage) {
+    if let Ok(bytes) = postcard::to_stdvec(message) {
+        if bytes.len() < MAX_FRAME_BYTES {
+            out.extend_from_slice(&(bytes.len() as u32 + 1).to_le_bytes());
+            out.push(PEER_VERSION);
+            out.extend_from_slice(&bytes);
+        }
+    }
+}
+
+/// A frame that makes its connection useless.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum BadFrame {
+    /// Length out of bounds.
+    #[error("frame length out of bounds")]
+    Length,
+    /// Another version of the protocol.
+    #[error("other protocol version")]
+    Version,
+    /// Content that can't be read.
+    #[error("unreadable frame")]
+    Content,
+}
+
+/// Takes the next whole frame from the front of `buf`.
+pub fn decode_frame(buf: &mut Vec<u8>) -> Result<Option<PeerMessage>, BadFrame> {
+    let Some(head) = buf.first_chunk::<4>() else {
+        return Ok(None);
+    };
+    let length = u32::from_le_bytes(*head) as usize;
+    if length < 2 || length > MAX_FRAME_BYTES {
+        return Err(BadFrame::Length);
+    }
+    if buf.len() < 4 + length {
+        return Ok(None);
+    }
+    if buf[4] != PEER_VERSION {
+        return Err(BadFrame::Version);
+    }
+    let message = postcard::from_bytes(&buf[5..4 + length]).map_err(|_| BadFrame::Content)?;
+    buf.drain(..4 + length);
+    Ok(Some(message))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn frames_survive_splitting_and_bad_ones_are_named() {
+        let message = PeerMessage::Hello { node: "n".into() };
+        let mut bytes = Vec::new();
+        encode_frame(&mut bytes, &message);
+        let (mut buf, mut seen) = (Vec::new(), Vec::new());
+        for b in &bytes {
+            buf.push(*b);
+            seen.extend(decode_frame(&mut buf).expect("good frame"));
+        }
+        assert_eq!(seen, vec![message]);
+        let mut other = bytes.clone();
+        other[4] = PEER_VERSION + 1;
+        assert_eq!(decode_frame(&mut other), Err(BadFrame::Version));
+        let mut huge = u32::MAX.to_le_bytes().to_vec();
+        assert_eq!(decode_frame(&mut huge), Err(BadFrame::Length));
+        let mut junk = vec![3, 0, 0, 0, PEER_VERSION, 250, 250];
+        assert_eq!(decode_frame(&mut junk), Err(BadFrame::Content));
+    }
+}
--- /dev/null
+++ b/crates/wire/src/records.rs
@@ -0,0 +1,136 @@
+//! What the controllers keep in the state service, and under which keys.
+
+use crate::users::Submission;
+use serde::{Deserialize, Serialize};
+
+/// Key of the leader's record, attached to its lease.
+pub const LEADER: &str = "lead";
+/// Key of the term, which outlives leaders.
+pub const TERM: &str = "term";
+/// Key of the machine types last seen.
+pub const TYPES: &str = "types";
+/// Prefix of open jobs (and aborted ones whose tasks are not gone yet).
+pub const JOBS: &str = "j/";
+/// Prefix of places and progress.
+pub const CHUNKS: &str = "p/";
+/// Prefix of finished jobs.
+pub const FINALS: &str = "f/";
+/// Prefix of machines.
+pub const MACHINES: &str = "m/";
+/// Prefix of rental requests.
+pub const RENTALS: &str = "r/";
+
+/// Key of an open job.
+pub fn job_key(id: &str) -> String {
+    format!("{JOBS}{id}")
+}
+
+/// Key of a finished job.
+pub fn final_key(id: &str) -> String {
+    format!("{FINALS}{id}")
+}
+
+/// Key of a part of a job's places and progress.
+pub fn chunk_key(id: &str, chunk: u32) -> String {
+    format!("{CHUNKS}{id}/{chunk}")
+}
+
+/// Key of a machine.
+pub fn machine_key(name: &str) -> String {
+    format!("{MACHINES}{name}")
+}
+
+/// Key of a rental request.
+pub fn rental_key(request: &str) -> String {
+    format!("{RENTALS}{request}")
+}
+
+/// Who leads.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    /// Label of the node.
+    pub node: String,
+    /// Its term.
+    pub term: u64,
+    /// Number drawn at the start of the process, to tell it from the node's earlier ones.
+    pub boot: u64,
+}
+
+/// The last term.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TermRecord {
+    /// Term.
+    pub term: u64,
+}
+
+/// A job that is not over.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// What was submitted.
+    pub spec: Submission,
+    /// Time of day of its acceptance, in milliseconds.
+    pub at: u64,
+    /// Whether its user has cancelled it.
+    #[serde(default)]
+    pub aborted: bool,
+}
+
+/// How a job ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Final {
+    /// All tasks completed.
+    #[serde(rename = "d")]
+    Done,
+    /// Cancelled by its user.
+    #[serde(rename = "a")]
+    Aborted,
+}
+
+/// A part of a job's tasks: which are done, and where the others may be running.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct ChunkRecord {
+    /// Done tasks as ranges, `0-3,7`.
+    #[serde(default)]
+    pub done: String,
+    /// (task, attempt, machine) of each place that is not known to be free.
+    #[serde(default)]
+    pub at: Vec<(u32, u64, String)>,
+    /// Highest attempt given out.
+    #[serde(default)]
+    pub hi: u64,
+    /// Run seconds of the done tasks that were timed.
+    #[serde(default)]
+    pub secs: f64,
+    /// How many of them were timed.
+    #[serde(default)]
+    pub timed: u32,
+}
+
+/// A rented machine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    /// Type.
+    pub kind: String,
+    /// Zone.
+    pub zone: String,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+    /// Time of day of the rental, in milliseconds.
+    pub at: u64,
+    /// Whether it is being returned.
+    #[serde(default)]
+    pub returning: bool,
+}
+
+/// A rental request whose answer is not recorded yet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RentalRecord {
+    /// Type.
+    pub kind: String,
+    /// Zone.
+    pub zone: String,
+    /// Whether spot machines are wanted.
+    pub spot: bool,
+    /// How many.
+    pub count: u32,
+}
