--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -65,7 +65,7 @@
         }
         let (name, listed) = (report.machine.clone(), report.tasks.clone());
         self.work_in(report, now);
-        let orders = self.orders_for(&name, &listed, active, now);
+        let orders = self.orders_for(&name, &listed, active);
         Heard::Answer(ReportAnswer { term, orders })
     }
 
@@ -297,13 +297,7 @@
     }
 
     /// Orders for a worker whose present report lists these tasks.
-    fn orders_for(
-        &mut self,
-        name: &str,
-        listed: &[TaskReport],
-        active: bool,
-        now: Now,
-    ) -> Vec<Order> {
+    fn orders_for(&mut self, name: &str, listed: &[TaskReport], active: bool) -> Vec<Order> {
         let mut orders = Vec::new();
         let Some(m) = self.machines.get(name) else {
             return orders;
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -206,10 +206,14 @@
         Ok(())
     }
 
-    /// Whether the objectives ask about money.
+    /// Whether machines are rented as work needs them and given back when idle.
+    ///
+    /// The platform's file restates only the aims at start and at finish, so an aim about money can't be read
+    /// there. What can be read is whether guarantees are to be met at once: that takes machines that stand
+    /// ready, and then thrift would cost what was asked for. Without it, idle machines are waste.
     pub fn thrifty(&self) -> bool {
-        let money = |o: &Objective| matches!(o.kind.as_str(), "price" | "useful" | "cost");
-        self.deployment.objectives.iter().any(money)
+        let has = |kind: &str| self.deployment.objectives.iter().any(|o| o.kind == kind);
+        has("price") || has("useful") || !has("guarantee")
     }
 }
 
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -170,10 +170,7 @@
         let now = mail.now.mono;
         self.wake = None;
         for p in 0..self.queues.len() {
-            loop {
-                let Some(first) = self.queues[p].front() else {
-                    break;
-                };
+            while let Some(first) = self.queues[p].front() {
                 if p == Priority::User as usize && now > first.since + USER_DEADLINE_MS {
                     if let Some(w) = self.queues[p].pop_front() {
                         expired.push((w.tag, StateReply::Refused));
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -86,7 +86,7 @@
         return Ok(None);
     };
     let length = u32::from_le_bytes(*head) as usize;
-    if length < 2 || length > MAX_FRAME_BYTES {
+    if !(2..=MAX_FRAME_BYTES).contains(&length) {
         return Err(BadFrame::Length);
     }
     if buf.len() < 4 + length {
