Room being vacated still counts against a team's limit

Ruled out: lost places after restarts (books agreed with reports). Use and what is leaving are now kept apart.

--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -75,7 +75,7 @@
             view.teams.push(TeamView {
                 guarantee: (t.cpus, t.gpus),
                 limit: (t.cpus_max, t.gpus_max),
-                used: Res::default(),
+                ..TeamView::default()
             });
         }
         let types: HashMap<&str, &MachineType> = self
@@ -129,6 +129,9 @@
             let strays = job.strays.iter().map(|(t, m)| (*t, m.as_str(), None));
             for (number_of_task, machine, place) in placed.chain(strays) {
                 view.teams[team].used.add(&task);
+                if place.is_some_and(|p| p.stop.is_some()) {
+                    view.teams[team].leaving.add(&task);
+                }
                 pilots += u32::from(place.is_some_and(|p| p.pilot));
                 let known = self.machines.get(machine).filter(|m| m.known);
                 // A place whose zone is not known yet counts as a zone of its own: nothing is near it.
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -43,6 +43,8 @@
     pub limit: (f64, f64),
     /// In use, unsure places included.
     pub used: Res,
+    /// Of that, what is being stopped. It still counts against the limit until it has gone.
+    pub leaving: Res,
 }
 
 impl TeamView {
@@ -79,9 +81,17 @@
     fn borrows(&self, less: &Res) -> bool {
         let over = |bound: f64, used: f64, less: f64| used - less >= bound - 1e-6;
         if self.guarantee.1 > 0.0 || less.gpus > 0.0 {
-            over(self.guarantee.1, self.used.gpus, less.gpus)
+            over(
+                self.guarantee.1,
+                self.used.gpus - self.leaving.gpus,
+                less.gpus,
+            )
         } else {
-            over(self.guarantee.0, self.used.cpus, less.cpus)
+            over(
+                self.guarantee.0,
+                self.used.cpus - self.leaving.cpus,
+                less.cpus,
+            )
         }
     }
 }
@@ -550,7 +560,7 @@
                 let by_guarantee = entitled && v.team != j.team && teams[v.team].borrows(&v.res);
                 if v.priority < j.priority || by_guarantee {
                     room.add(&v.res);
-                    teams[v.team].used.sub(&v.res);
+                    teams[v.team].leaving.add(&v.res);
                     cost += v.cost_s + 5.0;
                     chosen.push(r);
                 }
@@ -590,7 +600,7 @@
                 }
                 self.view.running[r].movable = false;
                 self.view.machines[m].soon.add(&v.res);
-                self.view.teams[v.team].used.sub(&v.res);
+                self.view.teams[v.team].leaving.add(&v.res);
                 self.decisions.push(Decision::Stop {
                     job: v.job,
                     task: v.task,
@@ -792,6 +802,7 @@
             guarantee: (0.0, 4.0),
             limit: (0.0, 4.0),
             used: Res::default(),
+            leaving: Res::default(),
         };
         let borrower = TeamView {
             guarantee: (0.0, 2.0),
@@ -801,6 +812,7 @@
                 gpus: 4.0,
                 mem: 4.0,
             },
+            leaving: Res::default(),
         };
         let mut full = machine(0, 4.0);
         full.free.gpus = 0.0;
@@ -851,6 +863,7 @@
                 guarantee: (0.0, 0.0),
                 limit: (0.0, 3.0),
                 used: Res::default(),
+                leaving: Res::default(),
             }],
             jobs: vec![job(1, false, 9, 1.0)],
             running: vec![],
@@ -860,6 +873,57 @@
         assert!(decide(limited).is_empty());
     }
 
+    /// Found on a simulated day: a team over its limit for the seconds that a preempted task took to save.
+    #[test]
+    fn room_that_is_being_vacated_still_counts_against_the_limit() {
+        let res = |gpus: f64| Res {
+            cpus: gpus,
+            gpus,
+            mem: gpus,
+        };
+        let owner = TeamView {
+            guarantee: (0.0, 4.0),
+            ..TeamView::default()
+        };
+        let at_limit = TeamView {
+            guarantee: (0.0, 1.0),
+            limit: (0.0, 4.0),
+            used: res(4.0),
+            leaving: Res::default(),
+        };
+        let mut full = machine(0, 4.0);
+        full.free = Res::default();
+        full.soon = Res::default();
+        let mut elsewhere = machine(1, 4.0);
+        elsewhere.kind = 1;
+        let mut wants_room = job(1, false, 1, 1.0);
+        wants_room.kinds = Some(vec![0]);
+        let mut wants_more = job(2, false, 1, 1.0);
+        wants_more.team = 1;
+        let running = vec![RunningView {
+            job: 1,
+            task: 9,
+            machine: 0,
+            team: 1,
+            priority: 1,
+            res: res(1.0),
+            movable: true,
+            cost_s: 0.0,
+        }];
+        let d = decide(View {
+            machines: vec![full, elsewhere],
+            teams: vec![owner, at_limit],
+            jobs: vec![wants_room, wants_more],
+            running,
+        });
+        let stop = Decision::Stop {
+            job: 1,
+            task: 9,
+            by: 0,
+        };
+        assert_eq!(d, vec![stop], "and nothing new for the team that gives way");
+    }
+
     #[test]
     fn a_round_cut_short_keeps_what_it_decided() {
         let policy = Policy::default();
