--- /dev/null
+++ b/crates/fakes/src/state.rs
@@ -0,0 +1,264 @@
+//! The state service, as its protocol page describes it.
+
+use std::collections::BTreeMap;
+use wire::state::*;
+
+struct Entry {
+    value: ciborium::Value,
+    version: u64,
+    lease: Option<u64>,
+}
+
+/// An open watch.
+pub struct Watch {
+    /// Who waits: caller's token.
+    pub waiter: (usize, u64),
+    prefix: String,
+    from: u64,
+    until: u64,
+}
+
+/// Keys, leases and changes.
+#[derive(Default)]
+pub struct FakeState {
+    entries: BTreeMap<String, Entry>,
+    leases: BTreeMap<u64, (u64, u64)>,
+    log: Vec<Change>,
+    revision: u64,
+    next_lease: u64,
+    /// Open watches.
+    pub watches: Vec<Watch>,
+    /// Puts and deletes so far.
+    pub writes: u64,
+}
+
+fn param<'a>(target: &'a str, name: &str) -> Option<&'a str> {
+    let query = target.split_once('?')?.1;
+    query
+        .split('&')
+        .find_map(|p| p.strip_prefix(name)?.strip_prefix('='))
+}
+
+impl FakeState {
+    /// Reads a record, for tests to look at.
+    pub fn read<T: serde::de::DeserializeOwned>(&self, key: &str) -> Option<T> {
+        self.entries.get(key)?.value.deserialized().ok()
+    }
+
+    /// Keys under a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let under = self.entries.keys().filter(|k| k.starts_with(prefix));
+        under.cloned().collect()
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.entries.remove(key).is_some() {
+            self.log.push(Change {
+                put: None,
+                value: None,
+                delete: Some(key.to_string()),
+                version: self.revision,
+            });
+        }
+    }
+
+    /// Ends leases whose time is over.
+    pub fn expire(&mut self, now: u64) {
+        let dead: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (until, _))| now >= *until)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in dead {
+            self.end_lease(id);
+        }
+    }
+
+    fn end_lease(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let keys: Vec<String> = self
+            .entries
+            .iter()
+            .filter(|(_, e)| e.lease == Some(id))
+            .map(|(k, _)| k.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    /// After an outage every lease has its full time again.
+    pub fn refresh_leases(&mut self, now: u64) {
+        for (until, ttl) in self.leases.values_mut() {
+            *until = now + *ttl;
+        }
+    }
+
+    /// Executes a request; `None` for a watch that has to wait.
+    pub fn serve(
+        &mut self,
+        now: u64,
+        waiter: (usize, u64),
+        method: &str,
+        target: &str,
+        body: &[u8],
+    ) -> Option<(u16, Vec<u8>)> {
+        let path = target.split('?').next().unwrap_or_default();
+        if method == "POST" && path == "/multi" {
+            return Some(match wire::decode(body) {
+                Ok(txn) => self.commit(txn),
+                Err(_) => (400, vec![]),
+            });
+        }
+        if let Some(rest) = path.strip_prefix("/leases") {
+            return Some(self.lease(now, method, rest, body));
+        }
+        if path == "/changes" {
+            let from = param(target, "from").and_then(|f| f.parse().ok())?;
+            let hold: u64 = param(target, "hold_ms").and_then(|h| h.parse().ok())?;
+            self.watches.push(Watch {
+                waiter,
+                prefix: param(target, "under")?.to_string(),
+                from,
+                until: now + hold,
+            });
+            return None;
+        }
+        if let Some(prefix) = param(target, "under") {
+            let from = param(target, "from").unwrap_or_default();
+            let limit = param(target, "limit").and_then(|l| l.parse().ok())?;
+            let mut items: Vec<Item> = self
+                .entries
+                .iter()
+                .filter(|(k, _)| k.starts_with(prefix) && k.as_str() > from)
+                .take(limit + 1)
+                .map(|(k, e)| item(k, e))
+                .collect();
+            let more = items.len() > limit;
+            items.truncate(limit);
+            let revision = self.revision;
+            let page = Page {
+                items,
+                more,
+                revision,
+            };
+            return Some((200, wire::encode(&page)));
+        }
+        let key = path.strip_prefix("/kv/").unwrap_or_default();
+        Some(match self.entries.get(key) {
+            Some(e) => (200, wire::encode(&item(key, e))),
+            None => (404, vec![]),
+        })
+    }
+
+    fn lease(&mut self, now: u64, method: &str, rest: &str, body: &[u8]) -> (u16, Vec<u8>) {
+        if rest.is_empty() {
+            let Ok(ask) = wire::decode::<LeaseAsk>(body) else {
+                return (400, vec![]);
+            };
+            self.next_lease += 1;
+            let ttl = ask.ttl_ms;
+            self.leases.insert(self.next_lease, (now + ttl, ttl));
+            let lease = self.next_lease;
+            return (200, wire::encode(&Lease { lease }));
+        }
+        let id = rest.trim_start_matches('/').split('/').next();
+        let Some(id) = id.and_then(|i| i.parse::<u64>().ok()) else {
+            return (400, vec![]);
+        };
+        if method == "DELETE" {
+            self.end_lease(id);
+            return (200, vec![]);
+        }
+        match self.leases.get_mut(&id) {
+            Some((until, ttl)) => {
+                *until = now + *ttl;
+                (200, vec![])
+            }
+            None => (404, vec![]),
+        }
+    }
+
+    fn commit(&mut self, txn: Txn) -> (u16, Vec<u8>) {
+        let version = |key: &str| self.entries.get(key).map_or(0, |e| e.version);
+        let failed: Vec<String> = txn
+            .guards
+            .iter()
+            .filter(|g| version(&g.key) != g.version)
+            .map(|g| g.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            let revision = self.revision;
+            return (409, wire::encode(&TxnAnswer { failed, revision }));
+        }
+        let dead = txn.writes.iter().any(|w| match w {
+            Write::Put { lease, .. } => lease.is_some_and(|l| !self.leases.contains_key(&l)),
+            Write::Delete { .. } => false,
+        });
+        if dead {
+            return (400, b"no such lease".to_vec());
+        }
+        self.revision += u64::from(!txn.writes.is_empty());
+        self.writes += txn.writes.len() as u64;
+        for write in txn.writes {
+            match write {
+                Write::Put { key, value, lease } => {
+                    self.log.push(Change {
+                        put: Some(key.clone()),
+                        value: Some(value.clone()),
+                        delete: None,
+                        version: self.revision,
+                    });
+                    let version = self.revision;
+                    self.entries.insert(
+                        key,
+                        Entry {
+                            value,
+                            version,
+                            lease,
+                        },
+                    );
+                }
+                Write::Delete { key } => self.remove(&key),
+            }
+        }
+        let answer = TxnAnswer {
+            failed: vec![],
+            revision: self.revision,
+        };
+        (200, wire::encode(&answer))
+    }
+
+    /// Watches that have something to tell or whose time is over.
+    pub fn ripe_watches(&mut self, now: u64) -> Vec<((usize, u64), Vec<u8>)> {
+        let mut ripe = Vec::new();
+        let (log, revision) = (&self.log, self.revision);
+        self.watches.retain(|w| {
+            let hit = |c: &&Change| {
+                let key = c.put.as_ref().or(c.delete.as_ref());
+                c.version > w.from && key.is_some_and(|k| k.starts_with(&w.prefix))
+            };
+            let events: Vec<Change> = log.iter().filter(hit).cloned().collect();
+            if events.is_empty() && now < w.until {
+                return true;
+            }
+            let changes = Changes { revision, events };
+            ripe.push((w.waiter, wire::encode(&changes)));
+            false
+        });
+        ripe
+    }
+}
+
+fn item(key: &str, e: &Entry) -> Item {
+    Item {
+        key: key.to_string(),
+        value: e.value.clone(),
+        version: e.version,
+        lease: e.lease,
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/worker.rs
@@ -0,0 +1,256 @@
+//! A worker, as the protocol page describes it: tokens, lease, commands, gangs.
+
+use std::collections::BTreeMap;
+use wire::workers::*;
+
+/// A task on a fake machine.
+#[derive(Debug, Clone)]
+pub struct FakeTask {
+    /// State.
+    pub phase: TaskPhase,
+    /// Why it ended.
+    pub cause: Option<Cause>,
+    /// When it goes on to the next state.
+    pub next_at: u64,
+}
+
+/// How tasks of a job behave.
+#[derive(Debug, Clone, Copy)]
+pub struct Behaviour {
+    /// Milliseconds of image fetch.
+    pub fetch_ms: u64,
+    /// Milliseconds of running.
+    pub run_ms: u64,
+    /// Milliseconds to save, 0 for tasks that never save.
+    pub save_ms: u64,
+    /// Size of its gang, 0 for arrays.
+    pub gang: u32,
+    /// Whether it fails at once.
+    pub fails: bool,
+}
+
+/// One machine's worker.
+pub struct FakeWorker {
+    /// Machine name.
+    pub name: String,
+    /// Zone.
+    pub zone: String,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+    /// Session.
+    pub session: u64,
+    /// Number of the last message.
+    pub seq: u64,
+    /// Highest token seen.
+    pub term: u64,
+    /// Tasks by name and attempt.
+    pub tasks: BTreeMap<(String, u64), FakeTask>,
+    /// Node it reports to.
+    pub node: usize,
+    /// When the next report is due.
+    pub report_at: u64,
+    /// Sent-time and number of the report in flight.
+    pub in_flight: Option<(u64, u64)>,
+    /// Sent-time of the last answered report, or start of the session.
+    pub lease_from: u64,
+    /// Cut from the network until then.
+    pub cut_until: u64,
+    /// When the cloud takes it, if it gave notice.
+    pub taken_at: Option<u64>,
+    /// Answers still to be lost on their way here.
+    pub lose_answers: u32,
+    /// Attempts started on this machine, in order.
+    pub started: Vec<(String, u64)>,
+}
+
+impl FakeWorker {
+    /// A machine that has just come up.
+    pub fn new(name: &str, zone: &str, spot: bool, now: u64) -> Self {
+        FakeWorker {
+            name: name.to_string(),
+            zone: zone.to_string(),
+            spot,
+            session: 1,
+            seq: 0,
+            term: 0,
+            tasks: BTreeMap::new(),
+            node: 0,
+            report_at: now,
+            in_flight: None,
+            lease_from: now,
+            cut_until: 0,
+            taken_at: None,
+            lose_answers: 0,
+            started: Vec::new(),
+        }
+    }
+
+    /// Its present report, numbered anew.
+    pub fn report(&mut self, kind: &str, now: u64) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.name.clone(),
+            addr: format!("{}:1", self.name),
+            kind: kind.to_string(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            term: self.term,
+            notice_s: self
+                .taken_at
+                .map(|at| at.saturating_sub(now) as f64 / 1000.0),
+            tasks: self
+                .tasks
+                .iter()
+                .map(|((task, attempt), t)| TaskReport {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    phase: t.phase,
+                    cause: t.cause,
+                    saved: None,
+                })
+                .collect(),
+        }
+    }
+
+    /// Whether a task occupies its place.
+    pub fn live(&self) -> impl Iterator<Item = (&String, u64)> {
+        let live = |t: &FakeTask| !matches!(t.phase, TaskPhase::Ended | TaskPhase::Fetching);
+        self.tasks
+            .iter()
+            .filter(move |(_, t)| live(t))
+            .map(|((n, a), _)| (n, *a))
+    }
+
+    /// Executes commands in order.
+    pub fn execute(
+        &mut self,
+        orders: &[Order],
+        behave: impl Fn(&str) -> Option<Behaviour>,
+        now: u64,
+    ) {
+        for order in orders {
+            match order {
+                Order::Start { task, attempt } => {
+                    if self.tasks.contains_key(&(task.clone(), *attempt)) {
+                        continue;
+                    }
+                    let busy = self
+                        .tasks
+                        .iter()
+                        .any(|((n, _), t)| n == task && t.phase != TaskPhase::Ended);
+                    let b = behave(task);
+                    let refused = match (busy, b) {
+                        (true, _) => Some(Cause::Busy),
+                        (_, None) => Some(Cause::Unknown),
+                        _ => None,
+                    };
+                    let (phase, next_at) = match b {
+                        Some(b) if refused.is_none() => (TaskPhase::Fetching, now + b.fetch_ms),
+                        _ => (TaskPhase::Ended, u64::MAX),
+                    };
+                    if refused.is_none() {
+                        self.started.push((task.clone(), *attempt));
+                    }
+                    let fresh = FakeTask {
+                        phase,
+                        cause: refused,
+                        next_at,
+                    };
+                    self.tasks.insert((task.clone(), *attempt), fresh);
+                }
+                Order::Stop {
+                    task,
+                    attempt,
+                    grace_s,
+                } => {
+                    let save_ms = behave(task).map_or(0, |b| b.save_ms);
+                    if let Some(t) = self.tasks.get_mut(&(task.clone(), *attempt)) {
+                        let saves = save_ms > 0 && *grace_s * 1000.0 >= save_ms as f64;
+                        match t.phase {
+                            TaskPhase::Ended => {}
+                            TaskPhase::Running if saves => {
+                                t.phase = TaskPhase::Saving;
+                                t.next_at = now + save_ms;
+                            }
+                            TaskPhase::Saving if saves => {}
+                            _ => end(t, Cause::Stopped),
+                        }
+                        self.report_at = self.report_at.min(now + 100);
+                    }
+                }
+                Order::Forget { task, attempt } => {
+                    let key = (task.clone(), *attempt);
+                    let ended = self.tasks.get(&key).map(|t| t.phase);
+                    if ended == Some(TaskPhase::Ended) {
+                        self.tasks.remove(&key);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Lets time pass for its tasks. `gathered` tells whether a gang attempt is complete.
+    pub fn advance(
+        &mut self,
+        now: u64,
+        lease_ms: u64,
+        behave: impl Fn(&str) -> Option<Behaviour>,
+        gathered: impl Fn(&str, u64, u32) -> bool,
+    ) {
+        if now > self.lease_from + lease_ms {
+            self.tasks.clear();
+            self.session += 1;
+            self.lease_from = now;
+            self.in_flight = None;
+        }
+        let mut changed = false;
+        for ((name, attempt), t) in &mut self.tasks {
+            let Some(b) = behave(name) else { continue };
+            match t.phase {
+                TaskPhase::Fetching if now >= t.next_at => {
+                    changed = true;
+                    if b.fails {
+                        end(t, Cause::Error);
+                    } else if b.gang > 0 {
+                        t.phase = TaskPhase::Waiting;
+                        t.next_at = now + 35_000;
+                    } else {
+                        t.phase = TaskPhase::Running;
+                        t.next_at = now + b.run_ms;
+                    }
+                }
+                TaskPhase::Waiting => {
+                    let job = name.split('/').next().unwrap_or_default();
+                    if gathered(job, *attempt, b.gang) {
+                        changed = true;
+                        t.phase = TaskPhase::Running;
+                        t.next_at = now + b.run_ms;
+                    } else if now >= t.next_at {
+                        changed = true;
+                        end(t, Cause::Alone);
+                    }
+                }
+                TaskPhase::Running if now >= t.next_at => {
+                    changed = true;
+                    end(t, Cause::Done);
+                }
+                TaskPhase::Saving if now >= t.next_at => {
+                    changed = true;
+                    end(t, Cause::Stopped);
+                }
+                _ => {}
+            }
+        }
+        if changed {
+            self.report_at = self.report_at.min(now + 100);
+        }
+    }
+}
+
+fn end(t: &mut FakeTask, cause: Cause) {
+    t.phase = TaskPhase::Ended;
+    t.cause = Some(cause);
+    t.next_at = u64::MAX;
+}
