Aborts recorded while nobody led are carried out by the next leader; story tests

Ruled out: lost kills, cut machines. Loading now treats such jobs as a seen abort does; a story covers it, with sixteen others.

--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -364,6 +364,9 @@
             self.mark(Dirty::Orphan(key));
         }
         for id in self.jobs.keys().cloned().collect::<Vec<_>>() {
+            if self.jobs.get(&id).is_some_and(|j| j.aborted) {
+                self.abort_places(&id, mail.now);
+            }
             self.mark_if_final(&id);
         }
         log::info!(
@@ -483,7 +486,8 @@
         self.mark_if_final(id);
     }
 
-    /// Cancelled: what was not sent goes at once, the rest is killed.
+    /// Cancelled: what was not sent goes at once, the rest is killed, whatever it had been told before. Called
+    /// when an abort is seen and for jobs that were already cancelled when the books were loaded.
     fn abort_places(&mut self, id: &str, now: Now) {
         let Some(job) = self.jobs.get(id) else { return };
         let places: Vec<(u32, Stage)> = job.places().map(|(t, p)| (t, p.stage)).collect();
--- /dev/null
+++ b/crates/control/tests/stories.rs
@@ -0,0 +1,418 @@
+//! Short stories: a whole small world in memory, with something going wrong in each.
+
+use fakes::{array, gang, Behaviour, World};
+use vetchmount_control::Settings;
+use wire::records::*;
+use wire::users::Phase;
+
+const DEPLOYMENT: &str = r#"
+zones = ["a", "b"]
+[[teams]]
+name = "t"
+gpus = 0.0
+gpus_max = GPUS_MAX
+[[objectives]]
+kind = "wait"
+within_s = 10.0
+[workers]
+report_s = 2.0
+lease_s = 12.0
+gang_wait_s = 35.0
+gang_peer_s = 8.0
+cancel_s = 30.0
+[state]
+rps = 150.0
+write_rps = 50.0
+value_kb = 16.0
+txn_ops = 12
+[cloud]
+rps = 5.0
+list_lag_s = 3.0
+[quota]
+cpu = 0.1
+mem_mb = 72.0
+max_connections = 1200
+"#;
+
+fn settings(i: usize, nodes: usize, gpus_max: f64) -> Settings {
+    let mut text = format!(
+        "label = \"n{i}\"\narea = \"a\"\npublic_addr = \"10.0.0.{i}:1\"\nback = \"10.0.0.{i}:2\"\n\
+         [outside]\ncloud = \"10.0.1.1:1\"\nstate = \"10.0.1.2:1\"\n"
+    );
+    for j in (0..nodes).filter(|j| *j != i) {
+        text += &format!("[[siblings]]\nlabel = \"n{j}\"\narea = \"a\"\naddr = \"10.0.0.{j}:2\"\n");
+    }
+    let deployment: toml::Value =
+        toml::from_str(&DEPLOYMENT.replace("GPUS_MAX", &format!("{gpus_max:.1}")))
+            .expect("deployment");
+    let mut all: toml::Table = toml::from_str(&text).expect("settings");
+    all.insert("deployment".into(), deployment);
+    let settings: Settings = all.try_into().expect("settings");
+    settings.validate().expect("valid");
+    settings
+}
+
+/// A world with a leader, machines that are known, and machine types that every node has read.
+fn world(nodes: usize, machines: usize, gpus_max: f64) -> World {
+    let mut w = World::new(nodes, |i| settings(i, nodes, gpus_max));
+    for m in 0..machines {
+        w.add_machine(&format!("vm-{m:06}"), if m % 2 == 0 { "a" } else { "b" });
+    }
+    assert!(w.until(6_000, |w| w.leader().is_some()), "a leader");
+    w.run(4_000);
+    w
+}
+
+fn runs(run_ms: u64) -> Behaviour {
+    Behaviour {
+        fetch_ms: 300,
+        run_ms,
+        save_ms: 0,
+        gang: 0,
+        fails: false,
+    }
+}
+
+fn clean(w: &World) {
+    assert!(w.broken.is_empty(), "rules broken: {:?}", &w.broken);
+}
+
+fn done(w: &mut World, id: &str, ms: u64) -> bool {
+    w.until(ms, |w| w.phase(0, id) == Some(Phase::Done))
+}
+
+fn follower(w: &World) -> usize {
+    let leader = w.leader().expect("leader");
+    usize::from(leader == 0)
+}
+
+#[test]
+fn a_job_runs_and_stays_done_for_every_node_and_after_every_restart() {
+    let mut w = world(3, 2, 0.0);
+    assert_eq!(w.submit(0, &array("run-1", 3), runs(2_000)), 201);
+    assert_eq!(w.phase(1, "run-1"), Some(Phase::Queued));
+    assert!(done(&mut w, "run-1", 15_000));
+    for i in 0..3 {
+        w.crash(i);
+    }
+    for i in 0..3 {
+        w.start(i);
+    }
+    w.run(5_000);
+    for i in 0..3 {
+        assert_eq!(w.phase(i, "run-1"), Some(Phase::Done));
+        assert_eq!(w.submit(i, &array("run-1", 3), runs(2_000)), 200);
+    }
+    assert!(w.on_machines("run-1").is_empty(), "done tasks stay done");
+    clean(&w);
+}
+
+#[test]
+fn answers_follow_the_protocol_before_and_after_a_job_is_known() {
+    let mut w = world(1, 1, 4.0);
+    let bad = |w: &mut World, body: Vec<u8>| w.ask(0, "POST", "/submissions", body).0;
+    assert_eq!(bad(&mut w, b"not cbor".to_vec()), 400);
+    let mut nan = array("run-2", 1);
+    nan.cpus = f64::NAN;
+    assert_eq!(bad(&mut w, wire::encode(&nan)), 400);
+    let mut none = array("run-2", 0);
+    assert_eq!(bad(&mut w, wire::encode(&none)), 400);
+    none.tasks = 100_001;
+    assert_eq!(bad(&mut w, wire::encode(&none)), 400);
+    let mut huge = array("run-3", 1);
+    huge.gpus = 5.0;
+    assert_eq!(bad(&mut w, wire::encode(&huge)), 422);
+    let mut stranger = array("run-3", 1);
+    stranger.team = "nobody".into();
+    assert_eq!(bad(&mut w, wire::encode(&stranger)), 422);
+    assert_eq!(bad(&mut w, wire::encode(&gang("run-3", 2))), 422);
+    assert_eq!(w.phase(0, "run-3"), None);
+    assert_eq!(w.ask(0, "GET", "/submissions/run-3", vec![]).0, 404);
+    // Once an id is known, whatever comes under it is answered 200 and changes nothing.
+    assert_eq!(w.submit(0, &array("run-2", 2), runs(60_000)), 201);
+    for body in [wire::encode(&nan), wire::encode(&array("run-2", 9))] {
+        assert_eq!(w.ask(0, "POST", "/submissions", body).0, 200);
+    }
+    let record: JobRecord = w.state.read(&job_key("run-2")).expect("recorded");
+    assert_eq!(record.spec.tasks, 2);
+}
+
+#[test]
+fn without_the_state_service_users_are_refused_at_once_or_served_through_a_peer() {
+    let mut w = world(3, 1, 0.0);
+    let lonely = follower(&w);
+    w.refused.insert(lonely);
+    w.run(3_000);
+    let before = w.now;
+    assert_eq!(w.submit(lonely, &array("run-4", 1), runs(1_000)), 201);
+    assert!(w.now - before < 500, "through a peer, at once");
+    w.refused.clear();
+    w.state_down = true;
+    w.run(3_000);
+    let before = w.now;
+    assert_eq!(w.submit(0, &array("run-5", 1), runs(1_000)), 503);
+    assert!(w.now - before < 100, "refused at once");
+    clean(&w);
+}
+
+#[test]
+fn a_crashed_leader_is_replaced_and_the_term_grows() {
+    let mut w = world(3, 2, 0.0);
+    let (old, term) = (
+        w.leader().expect("leader"),
+        w.leader().and_then(|l| w.term_of(l)),
+    );
+    assert_eq!(w.submit(old, &array("run-6", 2), runs(20_000)), 201);
+    w.run(4_000);
+    let placed = w.on_machines("run-6");
+    assert_eq!(placed.len(), 2);
+    w.crash(old);
+    assert!(w.until(8_000, |w| w.leader().is_some_and(|l| l != old)));
+    assert!(w.leader().and_then(|l| w.term_of(l)) > term);
+    w.run(5_000);
+    assert_eq!(w.on_machines("run-6"), placed, "its tasks run on");
+    let other = w.leader().expect("leader");
+    assert!(w.until(30_000, |w| w.phase(other, "run-6") == Some(Phase::Done)));
+    clean(&w);
+}
+
+#[test]
+fn late_transactions_of_a_former_leader_are_fenced() {
+    let mut w = world(3, 2, 0.0);
+    let old = w.leader().expect("leader");
+    // Its transactions reach the state service only after somebody else leads.
+    w.late_txns.insert(old, 12_000);
+    let other = follower(&w);
+    assert_eq!(w.submit(other, &array("run-7", 2), runs(3_000)), 201);
+    w.run(1_000);
+    w.refused.insert(old);
+    assert!(w.until(10_000, |w| w.leader().is_some_and(|l| l != old)));
+    assert!(w.until(20_000, |w| w.phase(other, "run-7") == Some(Phase::Done)));
+    w.run(15_000);
+    assert_eq!(
+        w.state.keys(CHUNKS),
+        Vec::<String>::new(),
+        "nothing came back"
+    );
+    assert_eq!(w.phase(other, "run-7"), Some(Phase::Done));
+    clean(&w);
+}
+
+#[test]
+fn a_lost_start_is_sent_again_and_runs_once() {
+    let mut w = world(1, 1, 0.0);
+    w.workers.get_mut("vm-000000").expect("worker").lose_answers = 2;
+    assert_eq!(w.submit(0, &array("run-8", 1), runs(3_000)), 201);
+    assert!(done(&mut w, "run-8", 40_000));
+    let started = &w.workers["vm-000000"].started;
+    assert_eq!(started.len(), 1, "{started:?}");
+    clean(&w);
+}
+
+#[test]
+fn an_abort_holds_against_running_tasks_and_later_completions() {
+    let mut w = world(3, 1, 0.0);
+    assert_eq!(w.submit(0, &array("run-9", 4), runs(6_000)), 201);
+    w.run(4_000);
+    assert_eq!(w.abort(1, "run-9"), Some(Phase::Aborted));
+    assert!(w.until(6_000, |w| w.on_machines("run-9").is_empty()));
+    w.run(10_000);
+    for i in 0..3 {
+        assert_eq!(w.phase(i, "run-9"), Some(Phase::Aborted));
+        assert_eq!(w.abort(i, "run-9"), Some(Phase::Aborted));
+    }
+    // The other way round: done first, then cancelled.
+    assert_eq!(w.submit(0, &array("run-10", 1), runs(500)), 201);
+    assert!(done(&mut w, "run-10", 10_000));
+    assert_eq!(w.abort(2, "run-10"), Some(Phase::Done));
+    clean(&w);
+}
+
+/// Found on a simulated day: a job cancelled while nobody led kept its tasks under the next leader.
+#[test]
+fn an_abort_while_nobody_leads_is_carried_out_by_the_next_leader() {
+    let mut w = world(3, 1, 0.0);
+    let (old, other) = (w.leader().expect("leader"), follower(&w));
+    assert_eq!(w.submit(other, &array("run-11", 2), runs(60_000)), 201);
+    w.run(4_000);
+    w.crash(old);
+    assert_eq!(w.abort(other, "run-11"), Some(Phase::Aborted));
+    assert!(w.leader().is_none(), "nobody leads yet");
+    assert!(w.until(20_000, |w| w.on_machines("run-11").is_empty()));
+    clean(&w);
+}
+
+#[test]
+fn all_nodes_restart_and_tasks_run_on_without_a_second_start() {
+    let mut w = world(3, 2, 0.0);
+    assert_eq!(w.submit(0, &array("run-12", 6), runs(15_000)), 201);
+    w.run(4_000);
+    let placed = w.on_machines("run-12");
+    for i in 0..3 {
+        w.crash(i);
+    }
+    w.run(3_000);
+    for i in 0..3 {
+        w.start(i);
+    }
+    w.run(5_000);
+    assert_eq!(w.on_machines("run-12"), placed);
+    assert!(done(&mut w, "run-12", 30_000));
+    clean(&w);
+}
+
+#[test]
+fn an_outage_of_the_state_service_longer_than_a_lease_costs_no_task() {
+    let mut w = world(3, 1, 0.0);
+    assert_eq!(w.submit(0, &array("run-13", 3), runs(40_000)), 201);
+    w.run(4_000);
+    let placed = w.on_machines("run-13");
+    assert_eq!(placed.len(), 3);
+    w.state_down = true;
+    w.run(25_000);
+    assert_eq!(w.on_machines("run-13"), placed, "kept alive");
+    w.state_down = false;
+    w.state.refresh_leases(w.now);
+    assert!(done(&mut w, "run-13", 40_000));
+    let started = w.workers["vm-000000"].started.len();
+    assert_eq!(started, 3, "each task started once");
+    clean(&w);
+}
+
+#[test]
+fn a_cut_machines_tasks_start_elsewhere_only_after_its_lease() {
+    let mut w = world(1, 1, 0.0);
+    assert_eq!(w.submit(0, &array("run-14", 1), runs(20_000)), 201);
+    w.run(4_000);
+    let cut_at = w.now;
+    w.workers.get_mut("vm-000000").expect("worker").cut_until = cut_at + 60_000;
+    w.add_machine("vm-000001", "a");
+    assert!(w.until(40_000, |w| w
+        .on_machines("run-14")
+        .iter()
+        .any(|p| p.0 == "vm-000001")));
+    assert!(w.now - cut_at >= 12_000, "not before the lease ran out");
+    assert!(done(&mut w, "run-14", 40_000));
+    clean(&w);
+}
+
+#[test]
+fn a_gang_starts_whole_under_one_attempt_and_anew_after_a_loss() {
+    let mut w = world(1, 4, 0.0);
+    let b = Behaviour {
+        gang: 2,
+        ..runs(15_000)
+    };
+    assert_eq!(w.submit(0, &gang("run-15", 2), b), 201);
+    w.run(5_000);
+    let first = w.on_machines("run-15");
+    assert_eq!(first.len(), 2);
+    assert_eq!(first[0].2, first[1].2, "one attempt");
+    let zones: Vec<&str> = first
+        .iter()
+        .map(|p| w.workers[&p.0].zone.as_str())
+        .collect();
+    assert_eq!(zones[0], zones[1], "one zone");
+    // One machine stops for good: the rest is stopped and all start anew, with a new attempt.
+    w.workers.remove(&first[0].0);
+    assert!(done(&mut w, "run-15", 90_000));
+    let last = w.workers.values().flat_map(|m| m.started.iter());
+    assert!(last.clone().any(|(_, attempt)| *attempt > first[0].2));
+    clean(&w);
+}
+
+#[test]
+fn under_notice_tasks_move_on_and_the_machine_goes_back() {
+    let mut w = world(1, 2, 0.0);
+    let mut job = array("run-16", 2);
+    (job.checkpoint_s, job.save_s) = (5.0, 1.0);
+    let b = Behaviour {
+        save_ms: 1_000,
+        ..runs(20_000)
+    };
+    assert_eq!(w.submit(0, &job, b), 201);
+    w.run(5_000);
+    let machine = w.on_machines("run-16")[0].0.clone();
+    let until = w.now + 9_000;
+    w.workers.get_mut(&machine).expect("worker").taken_at = Some(until);
+    w.run(8_000);
+    assert!(w.on_machines("run-16").iter().all(|p| p.0 != machine));
+    assert!(done(&mut w, "run-16", 60_000));
+    clean(&w);
+}
+
+#[test]
+fn a_team_stays_within_its_limit_through_recovery() {
+    let mut w = world(3, 3, 4.0);
+    assert_eq!(w.submit(0, &array("run-17", 12), runs(5_000)), 201);
+    w.run(4_000);
+    assert_eq!(w.on_machines("run-17").len(), 4);
+    for i in 0..3 {
+        w.crash(i);
+    }
+    for i in 0..3 {
+        w.start(i);
+    }
+    assert!(done(&mut w, "run-17", 60_000));
+    clean(&w);
+}
+
+#[test]
+fn a_failing_job_backs_off_while_others_go_on_and_its_machines_stay() {
+    let mut w = world(1, 3, 0.0);
+    let b = Behaviour {
+        fails: true,
+        ..runs(1_000)
+    };
+    // One long task on each machine, so that none is given back for being idle.
+    let mut long = array("run-30", 3);
+    long.cpus = 20.0;
+    assert_eq!(w.submit(0, &long, runs(100_000)), 201);
+    w.run(2_000);
+    assert_eq!(w.submit(0, &array("run-18", 6), b), 201);
+    assert_eq!(w.submit(0, &array("run-19", 4), runs(3_000)), 201);
+    assert!(done(&mut w, "run-19", 20_000));
+    w.run(60_000);
+    let starts: usize = w.workers.values().map(|m| m.started.len()).sum();
+    assert!(starts < 80, "{starts} starts");
+    assert!(w.workers.len() >= 3, "no machine is blamed for it");
+    clean(&w);
+}
+
+#[test]
+fn machines_are_rented_by_need_named_once_and_given_back_when_idle() {
+    let mut w = world(3, 0, 0.0);
+    w.capacity = 8;
+    assert_eq!(w.submit(0, &array("run-20", 6), runs(4_000)), 201);
+    w.run(3_000);
+    let leader = w.leader().expect("leader");
+    w.crash(leader);
+    w.run(3_000);
+    w.start(leader);
+    assert!(done(&mut w, "run-20", 60_000));
+    assert!(w.workers.len() <= 3, "no more than the work needs");
+    assert!(w.until(120_000, |w| w.workers.is_empty()), "all given back");
+    let mut names = w.rentals.clone();
+    names.sort();
+    names.dedup();
+    assert_eq!(names.len(), w.rentals.len());
+    assert_eq!(w.capacity, 8);
+    assert!(w.state.keys(MACHINES).is_empty() && w.state.keys(RENTALS).is_empty());
+    clean(&w);
+}
+
+#[test]
+fn a_very_wide_array_is_kept_in_split_records_of_bounded_size() {
+    let mut w = world(1, 2, 0.0);
+    assert_eq!(w.submit(0, &array("run-21", 100_000), runs(5_000)), 201);
+    w.run(20_000);
+    assert!(w.on_machines("run-21").len() <= 8);
+    for key in w.state.keys(CHUNKS) {
+        let record: ChunkRecord = w.state.read(&key).expect("record");
+        assert!(wire::encode(&record).len() < 8 * 1024, "{key}");
+    }
+    assert_eq!(w.phase(0, "run-21"), Some(Phase::Running));
+    assert_eq!(w.abort(0, "run-21"), Some(Phase::Aborted));
+    assert!(w.until(10_000, |w| w.state.keys(CHUNKS).is_empty()));
+    clean(&w);
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -202,7 +202,13 @@
     }
 
     /// Sends a request to a node and waits for the answer, for 3 s at most.
-    pub fn ask(&mut self, node: usize, method: &str, target: &str, body: Vec<u8>) -> (u16, Vec<u8>) {
+    pub fn ask(
+        &mut self,
+        node: usize,
+        method: &str,
+        target: &str,
+        body: Vec<u8>,
+    ) -> (u16, Vec<u8>) {
         let id = self.send(node, method, target, body);
         for _ in 0..300 {
             if let Some(answer) = self.answers.remove(&id) {
