--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -106,7 +106,10 @@
         let (want, id) = match (method, rest) {
             ("POST", "") => match self.read_submission(body) {
                 Ok(read) => read,
-                Err(why) => return mail.refuse(request, 400, &why),
+                Err(why) => {
+                    log::info!("event=job_refused status=400 why={why:?}");
+                    return mail.refuse(request, 400, &why);
+                }
             },
             (_, "") => return mail.refuse(request, 405, "method not allowed"),
             _ => {
--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -132,6 +132,10 @@
         self.spec.shape == Shape::Gang
     }
 
+    pub fn is_service(&self) -> bool {
+        self.spec.shape == Shape::Service
+    }
+
     pub fn tasks(&self) -> u32 {
         self.spec.tasks as u32
     }
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -37,6 +37,9 @@
     /// Seconds a task of the job is expected to run, and whether the job is still being sampled.
     pub(super) fn task_secs(&self, job: &Job) -> (f64, bool) {
         let (mean, timed) = job.sample();
+        if job.is_service() {
+            return (f64::MAX, false);
+        }
         let pilots = if job.is_gang() {
             0
         } else {
@@ -204,7 +207,12 @@
                 },
                 waiting,
                 sampling,
-                queue: queue_of(&policy, (secs * todo - ran).max(0.0)),
+                queue: if job.is_service() {
+                    0
+                } else {
+                    queue_of(&policy, (secs * todo - ran).max(0.0))
+                },
+                service: job.is_service(),
                 order: job.at + job.spec.due_s.map_or(0, due_ms),
                 running: job.placed,
                 avoid: if job.fail_machines.len() > FAULTY_JOBS {
--- a/crates/control/tests/stories.rs
+++ b/crates/control/tests/stories.rs
@@ -3,7 +3,7 @@
 use fakes::{array, gang, Behaviour, World};
 use vetchmount_control::Settings;
 use wire::records::*;
-use wire::users::Phase;
+use wire::users::{Phase, Shape};
 
 const DEPLOYMENT: &str = r#"
 zones = ["a", "b"]
@@ -401,6 +401,21 @@
     clean(&w);
 }
 
+#[test]
+fn a_service_runs_on_until_it_is_cancelled() {
+    let mut w = world(1, 1, 0.0);
+    let mut service = array("run-22", 2);
+    service.shape = Shape::Service;
+    service.guess_s = 0.0;
+    assert_eq!(w.submit(0, &service, runs(1_000_000)), 201);
+    w.run(30_000);
+    assert_eq!(w.on_machines("run-22").len(), 2);
+    assert_eq!(w.phase(0, "run-22"), Some(Phase::Running));
+    assert_eq!(w.abort(0, "run-22"), Some(Phase::Aborted));
+    assert!(w.until(6_000, |w| w.on_machines("run-22").is_empty()));
+    clean(&w);
+}
+
 #[test]
 fn a_very_wide_array_is_kept_in_split_records_of_bounded_size() {
     let mut w = world(1, 2, 0.0);
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -103,6 +103,8 @@
     pub team: usize,
     /// Whether all its tasks start together.
     pub gang: bool,
+    /// Whether it runs until cancelled: it skips the queues.
+    pub service: bool,
     /// Priority, larger is more important.
     pub priority: u8,
     /// What a task takes.
@@ -252,7 +254,7 @@
         let j = &self.view.jobs[job];
         let entitled = self.view.teams[j.team].entitles(&self.demand(job));
         let pilot = (self.next_task[job] as u32) < j.pilots_due;
-        let class = match (pilot, j.sampling) {
+        let class = match (pilot || j.service, j.sampling) {
             (true, _) => 0,
             (_, false) => 1,
             (false, true) => 2,
@@ -678,6 +680,7 @@
         JobView {
             team: 0,
             gang,
+            service: false,
             priority: 1,
             task: Res {
                 cpus: 1.0,
--- a/crates/wire/src/users.rs
+++ b/crates/wire/src/users.rs
@@ -11,6 +11,10 @@
     /// All tasks at the same time or none.
     #[serde(rename = "group")]
     Gang,
+    /// Independent tasks that run until their user cancels the job. The protocol page does not name this shape,
+    /// the design page and users do (docs/questions.md).
+    #[serde(rename = "standing")]
+    Service,
 }
 
 /// Priority, from lowest to highest.
