Answers to workers wait briefly for the next start

Ruled out: shorter rounds alone (the report interval dominates). Reports with ended tasks are answered once the records and a round are through (500 ms at most), those of empty machines after 2 s at most.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -78,7 +78,13 @@
 /// Milliseconds of real time one round of decisions may take; the next goes on where it stopped.
 pub const ROUND_BUDGET_MS: u64 = 20;
 /// Milliseconds between two rounds of decisions.
-pub const ROUND_EVERY_MS: u64 = 150;
+pub const ROUND_EVERY_MS: u64 = 60;
+/// Milliseconds the answer to a worker whose tasks have just ended waits for what comes next there: a round, and
+/// a transaction. Without it the freed place idles until the worker's next report.
+pub const SETTLE_MS: u64 = 500;
+/// Milliseconds the answer to a worker without tasks waits for one, well within the worker's patience of 4 s.
+/// Nothing can change on such a machine meanwhile, and a start reaches it at once.
+pub const IDLE_HOLD_MS: u64 = 2_000;
 /// Milliseconds between steps of housekeeping (silent machines, fleet size).
 pub const HOUSEKEEPING_MS: u64 = 500;
 
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -7,7 +7,7 @@
 mod fleet;
 mod planning;
 mod reports;
-pub(crate) use reports::{direct_call, Heard};
+pub(crate) use reports::{direct_call, Heard, Held};
 mod store;
 
 use crate::cloud::{CloudOp, CloudReply};
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -18,10 +18,24 @@
 pub(crate) enum Heard {
     /// Answer with these orders.
     Answer(ReportAnswer),
+    /// Answer later, when [`Leader::held_answer`] says so.
+    Hold(Held),
     /// The worker knows a newer term: we are not the leader.
     Newer(u64),
 }
 
+/// A report whose answer waits for what is about to be decided.
+#[derive(Debug, Clone)]
+pub(crate) struct Held {
+    machine: String,
+    tasks: Vec<TaskReport>,
+    seq: (u64, u64),
+    /// Until when it may wait for records and a round.
+    settle_until: u64,
+    /// Until when it may wait for a task.
+    idle_until: u64,
+}
+
 impl Leader {
     /// A worker's report. `active` tells whether starts may be sent.
     pub fn on_report(&mut self, report: Report, active: bool, now: Now) -> Heard {
@@ -65,8 +79,61 @@
         }
         let (name, listed) = (report.machine.clone(), report.tasks.clone());
         self.work_in(report, now);
-        let orders = self.orders_for(&name, &listed, active);
-        Heard::Answer(ReportAnswer { term, orders })
+        let report_ms = (self.settings.deployment.workers.report_s * 1000.0) as u64;
+        let idle = active && listed.is_empty();
+        let hold_ms = IDLE_HOLD_MS.min(report_ms);
+        let held = Held {
+            seq: self
+                .machines
+                .get(&name)
+                .map_or((0, 0), |m| (m.session, m.seq)),
+            machine: name,
+            tasks: listed,
+            settle_until: now.mono + if active { SETTLE_MS } else { 0 },
+            idle_until: now.mono + if idle { hold_ms } else { 0 },
+        };
+        match self.held_answer(&held, active, now) {
+            Some(answer) => Heard::Answer(answer),
+            None => Heard::Hold(held),
+        }
+    }
+
+    /// The answer to a held report, once there is nothing left to wait for.
+    pub fn held_answer(&mut self, held: &Held, active: bool, now: Now) -> Option<ReportAnswer> {
+        let term = self.term;
+        let answer = |orders| Some(ReportAnswer { term, orders });
+        let Some(m) = self.machines.get(&held.machine) else {
+            return answer(Vec::new());
+        };
+        if (m.session, m.seq) != held.seq {
+            // The worker has given up on this report.
+            return answer(Vec::new());
+        }
+        let unsaved = |job: &str, task: u32| {
+            let job = self.jobs.get(job);
+            job.is_some_and(|j| !j.is_saved(task) || j.final_due().is_some())
+        };
+        let ended = held.tasks.iter().any(|t| {
+            let name = split_task(&t.task).filter(|_| t.phase == TaskPhase::Ended);
+            name.is_some_and(|(job, task)| unsaved(job, task))
+        });
+        let coming = m.places.iter().any(|(job, task)| {
+            let place = self.jobs.get(job).and_then(|j| j.place(*task));
+            place.is_some_and(|p| p.stage == Stage::Ready) && unsaved(job, *task)
+        });
+        let unsettled = ended || coming || self.plan_due;
+        let idle = m.places.is_empty() && m.draining.is_none();
+        let wait = if unsettled {
+            held.settle_until.max(held.idle_until)
+        } else if idle {
+            held.idle_until
+        } else {
+            0
+        };
+        if active && now.mono < wait {
+            return None;
+        }
+        answer(self.orders_for(&held.machine, &held.tasks, active))
     }
 
     /// Takes over what a report with our term proves.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -3,7 +3,7 @@
 use crate::cloud::CloudClient;
 use crate::election::Election;
 use crate::gateway::Gateway;
-use crate::leader::{direct_call, Heard, Leader};
+use crate::leader::{direct_call, Heard, Held, Leader};
 use crate::mail::*;
 use crate::peers::{PeerState, Peers};
 use crate::settings::{Operator, Settings};
@@ -29,6 +29,8 @@
     election: Election,
     gateway: Gateway,
     leader: Option<Leader>,
+    /// Reports whose answers wait.
+    held: Vec<(RequestId, Held)>,
     peers: Peers,
     next_call: CallId,
     out: VecDeque<Output>,
@@ -58,6 +60,7 @@
             election: Election::new(&settings.label, boot),
             gateway: Gateway::new(d.teams.clone()),
             leader: None,
+            held: Vec::new(),
             peers: Peers::new(settings.siblings.iter().map(|s| s.label.clone())),
             next_call: 0,
             out: VecDeque::new(),
@@ -95,7 +98,7 @@
         for wake in [self.state.next_wake(), self.cloud.next_wake()] {
             at = at.min(wake.unwrap_or(u64::MAX));
         }
-        if !self.gateway.is_idle() || !self.forwards.is_empty() {
+        if !self.gateway.is_idle() || !self.forwards.is_empty() || !self.held.is_empty() {
             at = at.min(self.last_now.mono + 200);
         }
         at.max(self.last_now.mono + 1)
@@ -315,6 +318,7 @@
             };
             match leader.on_report(report, active, now) {
                 Heard::Answer(answer) => mail.respond(id, 200, wire::encode(&answer)),
+                Heard::Hold(held) => self.held.push((id, held)),
                 Heard::Newer(term) => {
                     self.election.heard_term(term, mail);
                     mail.refuse(id, 503, "a newer leader exists");
@@ -419,6 +423,30 @@
         }
     }
 
+    /// Answers held reports for which there is nothing left to wait for.
+    fn release(&mut self, mail: &mut Mail) {
+        if self.held.is_empty() {
+            return;
+        }
+        let now = mail.now;
+        let active = self.active(now.mono);
+        let may_answer = self.may_answer(now.mono);
+        let leader = &mut self.leader;
+        self.held.retain(|(id, held)| {
+            let Some(leader) = leader.as_mut().filter(|_| may_answer) else {
+                mail.refuse(*id, 503, "not entitled to answer workers");
+                return false;
+            };
+            match leader.held_answer(held, active, now) {
+                Some(answer) => {
+                    mail.respond(*id, 200, wire::encode(&answer));
+                    false
+                }
+                None => true,
+            }
+        });
+    }
+
     /// Passes on what actors said until nobody has anything left to say.
     fn deliver(&mut self, mut mail: Mail) {
         let now = mail.now;
@@ -452,7 +480,10 @@
                 && mail.news.is_empty()
                 && mail.out.is_empty();
             if quiet {
-                return;
+                self.release(&mut mail);
+                if mail.out.is_empty() {
+                    return;
+                }
             }
         }
     }
