--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -104,6 +104,8 @@
     pub fail_machines: BTreeSet<String>,
     pub pause_until: u64,
     pub first_run: Option<u64>,
+    /// Machines kept from filling up for this gang.
+    pub kept: Vec<String>,
 }
 
 impl Job {
@@ -125,6 +127,7 @@
             fail_machines: BTreeSet::new(),
             pause_until: 0,
             first_run: None,
+            kept: Vec::new(),
         }
     }
 
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -156,7 +156,8 @@
                     .running_since
                     .map_or(0.0, |t| now.mono.saturating_sub(t) as f64 / 1000.0);
                 ran += elapsed;
-                let left = (secs - elapsed).max(1.0);
+                // A task that has outrun its estimate may well go on for a while.
+                let left = (secs - elapsed).max(secs * 0.25);
                 view.machines[m].busy_s = view.machines[m].busy_s.max(left);
                 let saves = job.spec.checkpoint_s > 0.0;
                 view.running.push(RunningView {
@@ -170,7 +171,9 @@
                         && place.stage == Stage::Seen
                         && (!job.is_gang() || job.tasks() == 1)
                         && (place.running_since.is_none() || left > job.spec.save_s + 3.0),
-                    cost_s: if saves { job.spec.save_s } else { elapsed },
+                    // A gang finds room for itself again only with difficulty.
+                    cost_s: if job.is_gang() { 60.0 } else { 0.0 }
+                        + if saves { job.spec.save_s } else { elapsed },
                 });
             }
             let open = !job.aborted && job.pause_until <= now.mono && job.strays.is_empty();
@@ -215,6 +218,11 @@
                 service: job.is_service(),
                 order: job.at + job.spec.due_s.map_or(0, due_ms),
                 running: job.placed,
+                kept: job
+                    .kept
+                    .iter()
+                    .filter_map(|m| index.get(m.as_str()).copied())
+                    .collect(),
                 avoid: if job.fail_machines.len() > FAULTY_JOBS {
                     Vec::new()
                 } else {
@@ -274,8 +282,17 @@
             log::info!("event=round_cut decisions={}", decisions.len());
             self.plan_due = true;
         }
+        for job in self.jobs.values_mut() {
+            job.kept.clear();
+        }
         for decision in decisions {
             match decision {
+                Decision::Keep { job, machines } => {
+                    if let Some(job) = self.jobs.get_mut(&picture.jobs[job]) {
+                        let names = machines.iter().map(|m| picture.machines[*m].clone());
+                        job.kept = names.collect();
+                    }
+                }
                 Decision::Place {
                     job,
                     tasks,
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -137,6 +137,8 @@
     pub running: u32,
     /// Machines its tasks should keep away from.
     pub avoid: Vec<usize>,
+    /// Machines an earlier round kept for it.
+    pub kept: Vec<usize>,
 }
 
 /// A task on a machine that could be stopped.
@@ -196,6 +198,13 @@
         /// Job that needs the room.
         by: usize,
     },
+    /// Keep machines from filling up until a gang finds room on them.
+    Keep {
+        /// Gang.
+        job: usize,
+        /// Machines.
+        machines: Vec<usize>,
+    },
 }
 
 #[derive(Clone, Copy, PartialEq, PartialOrd)]
@@ -228,13 +237,22 @@
             }
         }
         let (jobs, machines) = (view.jobs.len(), view.machines.len());
+        // A gang keeps what was kept for it: machines chosen anew each round would fill up again in between.
+        let mut reserved = vec![None; machines];
+        for (number, job) in view.jobs.iter().enumerate() {
+            for &m in job.kept.iter().filter(|_| !job.waiting.is_empty()) {
+                if view.machines[m].usable {
+                    reserved[m] = Some(number);
+                }
+            }
+        }
         Round {
             policy,
             view,
             queue_use,
             next_task: vec![0; jobs],
             blocked: vec![false; jobs],
-            reserved: vec![None; machines],
+            reserved,
             decisions: Vec::new(),
         }
     }
@@ -443,6 +461,9 @@
             for &(_, machine) in &tasks {
                 self.take(job, machine, false);
             }
+            for r in self.reserved.iter_mut().filter(|r| **r == Some(job)) {
+                *r = None;
+            }
             self.next_task[job] += tasks.len();
             self.decisions.push(Decision::Place {
                 job,
@@ -505,7 +526,14 @@
 
     /// Keeps the machines that empty soonest from filling up with small tasks again.
     fn reserve(&mut self, job: usize) {
-        let need = self.left(job);
+        let held = self.reserved.iter().filter(|r| **r == Some(job)).count();
+        let need = self.left(job).saturating_sub(held);
+        let taken = self.reserved.iter().filter(|r| r.is_some()).count();
+        // Never more than a part of the fleet stands half empty for gangs.
+        let need = need.min((self.view.machines.len() / 4).saturating_sub(taken));
+        if need == 0 {
+            return;
+        }
         let mut list: Vec<usize> = (0..self.view.machines.len())
             .filter(|&m| self.allowed(job, m) && self.reserved[m].is_none())
             .filter(|&m| self.zone_room(job, self.view.machines[m].zone) > 0)
@@ -620,10 +648,23 @@
     }
 
     /// Decides until nothing is left to decide or `go_on` says stop. Returns whether it got to the end.
-    pub fn run(mut self, mut go_on: impl FnMut() -> bool) -> (Vec<Decision>, bool) {
+    pub fn run(mut self, go_on: impl FnMut() -> bool) -> (Vec<Decision>, bool) {
+        let finished = self.decide(go_on);
+        for job in 0..self.view.jobs.len() {
+            let machines: Vec<usize> = (0..self.reserved.len())
+                .filter(|&m| self.reserved[m] == Some(job) && self.left(job) > 0)
+                .collect();
+            if !machines.is_empty() {
+                self.decisions.push(Decision::Keep { job, machines });
+            }
+        }
+        (self.decisions, finished)
+    }
+
+    fn decide(&mut self, mut go_on: impl FnMut() -> bool) -> bool {
         loop {
             if !go_on() {
-                return (self.decisions, false);
+                return false;
             }
             let next = (0..self.view.jobs.len())
                 .filter(|&j| !self.blocked[j] && self.left(j) > 0)
@@ -634,7 +675,7 @@
                         .then(a.1.cmp(&b.1))
                 });
             let Some((_, job)) = next else {
-                return (self.decisions, true);
+                return true;
             };
             if !self.place(job) {
                 if !self.blocked[job] {
@@ -701,6 +742,7 @@
             order,
             running: 0,
             avoid: vec![],
+            kept: vec![],
         }
     }
 
@@ -927,6 +969,33 @@
         assert_eq!(d, vec![stop], "and nothing new for the team that gives way");
     }
 
+    /// Found on a simulated day: gangs waited for minutes while small tasks refilled every machine that had
+    /// begun to empty for them.
+    #[test]
+    fn a_gang_keeps_the_machine_that_empties_for_it() {
+        let mut emptying = machine(0, 4.0);
+        emptying.free.gpus = 2.0;
+        emptying.soon.gpus = 2.0;
+        emptying.busy_s = 9.0;
+        let mut full = machine(0, 4.0);
+        full.free.gpus = 0.0;
+        full.soon.gpus = 0.0;
+        full.busy_s = 5.0;
+        let mut waiting = job(1, true, 1, 4.0);
+        waiting.kept = vec![0];
+        let view = View {
+            machines: vec![emptying, full],
+            teams: vec![TeamView::default()],
+            jobs: vec![waiting, job(2, false, 8, 1.0)],
+            running: vec![],
+        };
+        let keep = Decision::Keep {
+            job: 0,
+            machines: vec![0],
+        };
+        assert_eq!(decide(view), vec![keep]);
+    }
+
     #[test]
     fn a_round_cut_short_keeps_what_it_decided() {
         let policy = Policy::default();
