--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -99,6 +99,14 @@
 /// Growth of the queues' bounds and fall of their weights (the paper's 10).
 pub const QUEUE_GROWTH: f64 = 10.0;
 
+/// Factor from a job's mean task time to the time its longest task takes, for ordering by deadline.
+pub const LONGEST_TASK: f64 = 1.4;
+/// Seconds between the placing of a task and its first second of work, for ordering by deadline.
+pub const START_LAG_S: f64 = 5.0;
+/// Seconds after its last aim at which a job that can't meet any is due; later than any that still can, but
+/// bounded, so that it does not starve.
+pub const HOPELESS_S: f64 = 200.0;
+
 /// Milliseconds of pause after a job's first failed task, doubled by each further one.
 pub const ERROR_PAUSE_MS: u64 = 2_000;
 /// Milliseconds a job that goes on failing is left alone at most.
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -52,6 +52,35 @@
         }
     }
 
+    /// Latest moment (time of day, ms) at which what is left of a job must start to meet the first of its aims
+    /// that it still can: its own deadline, and those of its class in the objectives.
+    fn latest_start(&self, job: &Job, secs: f64, now: Now) -> u64 {
+        let age = now.unix.saturating_sub(job.at) as f64 / 1000.0;
+        let needs = START_LAG_S
+            + if job.is_gang() {
+                secs
+            } else {
+                secs * LONGEST_TASK
+            };
+        let own = job.spec.due_s.map(|due| due - needs);
+        let of_class =
+            |o: &&crate::settings::Objective| o.class.as_deref() == Some(job.spec.class.as_str());
+        let aims = self.settings.deployment.objectives.iter().filter(of_class);
+        let starts = aims.filter_map(|o| match (o.kind.as_str(), o.within_s) {
+            ("wait", Some(s)) => Some(s - START_LAG_S),
+            ("finished", Some(s)) => Some(s - needs),
+            _ => None,
+        });
+        let mut starts: Vec<f64> = starts.chain(own).collect();
+        starts.sort_by(f64::total_cmp);
+        let next = starts.iter().copied().find(|s| *s >= age);
+        let start = next.unwrap_or(starts.last().copied().unwrap_or(0.0).max(0.0) + HOPELESS_S);
+        if starts.is_empty() {
+            return job.at;
+        }
+        job.at + (start.max(0.0) * 1000.0) as u64
+    }
+
     /// Whether tasks may be sent to a machine.
     pub(super) fn usable(&self, m: &Machine, now: u64) -> bool {
         let silent_ms = (self.settings.deployment.workers.report_s * 2500.0) as u64 + 500;
@@ -186,7 +215,6 @@
             let policy = self.operator.policy();
             let wanted_pilots = pilots_of(&policy, job.tasks());
             let known_pilots = pilots + job.sample().1;
-            let due_ms = |s: f64| (s * 1000.0) as u64;
             view.jobs.push(JobView {
                 team,
                 gang: job.is_gang(),
@@ -216,7 +244,7 @@
                     queue_of(&policy, (secs * todo - ran).max(0.0))
                 },
                 service: job.is_service(),
-                order: job.at + job.spec.due_s.map_or(0, due_ms),
+                order: self.latest_start(job, secs, now),
                 running: job.placed,
                 kept: job
                     .kept
