--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -5,10 +5,64 @@
 use sched::{plan_fleet, FleetView, Offer, Res};
 use wire::cloud::{MachinePhase, Rent};
 
+/// Where this leader's money went, by what the GPU share (or CPU share) of each machine did.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Spent {
+    boot: f64,
+    idle: f64,
+    unused: f64,
+    starting: f64,
+    stopping: f64,
+    running: f64,
+    at: u64,
+}
+
 impl Leader {
+    /// Books the time since the last look.
+    fn account(&mut self, now: Now) {
+        let hours = now.mono.saturating_sub(self.spent.at).min(2_000) as f64 / 3_600_000.0;
+        self.spent.at = now.mono;
+        let types = self.types.want.iter().flatten();
+        let types: HashMap<&str, &MachineType> = types.map(|t| (t.name.as_str(), t)).collect();
+        for m in self.machines.values() {
+            let Some(t) = types.get(m.kind.as_str()) else {
+                continue;
+            };
+            let money = hours * if m.spot { t.spot_price } else { t.price };
+            if !m.synced {
+                self.spent.boot += money;
+                continue;
+            }
+            if m.places.is_empty() {
+                self.spent.idle += money;
+                continue;
+            }
+            let mut left = 1.0;
+            for (id, task) in &m.places {
+                let Some(job) = self.jobs.get(id) else {
+                    continue;
+                };
+                let share = if t.gpus > 0.0 {
+                    job.spec.gpus / t.gpus
+                } else {
+                    job.spec.cpus / t.cpus.max(1e-9)
+                };
+                let part = match job.place(*task).and_then(|p| p.phase) {
+                    Some(TaskPhase::Running) => &mut self.spent.running,
+                    Some(TaskPhase::Saving | TaskPhase::Ended) => &mut self.spent.stopping,
+                    _ => &mut self.spent.starting,
+                };
+                *part += money * share;
+                left -= share;
+            }
+            self.spent.unused += money * left.max(0.0);
+        }
+    }
+
     /// Regular look at the fleet.
     pub(super) fn mind_fleet(&mut self, mail: &mut Mail) {
         let now = mail.now;
+        self.account(now);
         if now.mono >= self.next_types {
             self.next_types = now.mono + (CLOUD_TYPES_S * 1000.0) as u64;
             self.ask_cloud(CloudOp::Types, CloudAsk::Types, mail);
@@ -36,6 +90,11 @@
                 .map(|j| j.spec.tasks - j.done - u64::from(j.placed).min(j.spec.tasks - j.done))
                 .sum();
             let placed: u32 = self.jobs.values().map(|j| j.placed).sum();
+            let s = self.spent;
+            log::info!(
+                "event=money term={} boot={:.2} idle={:.2} unused={:.2} starting={:.2} stopping={:.2} running={:.2}",
+                self.term, s.boot, s.idle, s.unused, s.starting, s.stopping, s.running
+            );
             log::info!(
                 "event=summary machines={} up={up} jobs={} placed={placed} waiting={waiting} rentals={}",
                 self.machines.len(),
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -123,6 +123,7 @@
     /// Jobs filed away in this term, in two generations.
     filed: [std::collections::HashSet<String>; 2],
     next_summary: u64,
+    spent: fleet::Spent,
 }
 
 impl Leader {
@@ -176,6 +177,7 @@
             kill_budget: Bucket::new(20.0, 40.0),
             filed: Default::default(),
             next_summary: 0,
+            spent: fleet::Spent::default(),
         }
     }
 
