--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -137,6 +137,15 @@
 /// Seconds a machine idles before it is given back where money counts; it is charged 60 s at least.
 pub const IDLE_RETURN_S: f64 = 25.0;
 
+/// Factor on that for spot machines: at a third of the price, room for what comes next is worth keeping.
+pub const IDLE_SPOT: f64 = 2.0;
+/// Factor on that for ordinary machines.
+pub const IDLE_ORDINARY: f64 = 0.6;
+/// Seconds between looks for a machine whose tasks fit elsewhere.
+pub const CONSOLIDATE_S: f64 = 4.0;
+/// Seconds a machine must still be busy for its emptying to pay: saving, starting and fetching again cost some.
+pub const CONSOLIDATE_LEFT_S: f64 = 30.0;
+
 /// Milliseconds between beats to each peer.
 pub const PEER_BEAT_MS: u64 = 500;
 /// Milliseconds after which a peer's last beat says nothing about now.
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -17,6 +17,9 @@
     at: u64,
 }
 
+/// Why a machine is drained whose tasks fit elsewhere.
+const CONSOLIDATED: &str = "consolidated";
+
 impl Leader {
     /// Books the time since the last look.
     fn account(&mut self, now: Now) {
@@ -76,6 +79,7 @@
             };
             self.ask_cloud(op, CloudAsk::List { asked: now.mono }, mail);
         }
+        self.consolidate(mail);
         self.give_back(mail);
         self.resend_rentals(mail);
         self.rent(mail);
@@ -115,13 +119,80 @@
         ((boot * BOOT_PATIENCE + BOOT_PATIENCE_S) * 1000.0) as u64
     }
 
+    /// Where money counts, empties an ordinary machine whose few tasks fit on others, so that it can go back.
+    /// One at a time, and only while nothing waits.
+    fn consolidate(&mut self, mail: &mut Mail) {
+        let now = mail.now;
+        if !self.settings.thrifty() || now.mono < self.next_consolidation {
+            return;
+        }
+        self.next_consolidation = now.mono + (CONSOLIDATE_S * 1000.0) as u64;
+        let picture = self.picture(now);
+        let view = &picture.view;
+        let waiting = view.jobs.iter().any(|j| !j.waiting.is_empty());
+        let leaving = view.running.iter().any(|r| !r.movable && r.cost_s < 60.0);
+        if waiting
+            || leaving
+                && self
+                    .machines
+                    .values()
+                    .any(|m| m.draining == Some(CONSOLIDATED))
+        {
+            return;
+        }
+        let candidate = (0..view.machines.len()).filter(|&m| {
+            let machine = &view.machines[m];
+            let tasks: Vec<_> = view.running.iter().filter(|r| r.machine == m).collect();
+            let few = machine.free.gpus >= machine.total.gpus * 0.5
+                && machine.free.cpus >= machine.total.cpus * 0.4;
+            let long = machine.busy_s >= CONSOLIDATE_LEFT_S;
+            let movable = tasks.iter().all(|r| {
+                let job = self.jobs.get(&picture.jobs[r.job]);
+                r.movable && job.is_some_and(|j| !j.is_gang() && j.spec.checkpoint_s > 0.0)
+            });
+            let fit = || {
+                let mut rooms: Vec<Res> = (0..view.machines.len())
+                    .filter(|&o| o != m && view.machines[o].usable)
+                    .filter(|&o| {
+                        view.machines[o].spot || view.running.iter().any(|r| r.machine == o)
+                    })
+                    .map(|o| view.machines[o].free)
+                    .collect();
+                tasks.iter().all(|r| {
+                    let job = &view.jobs[r.job];
+                    let room = rooms.iter_mut().find(|room| room.fits(&r.res));
+                    let plain = job.spot && job.zone.is_none() && !job.one_zone;
+                    room.map(|room| room.sub(&r.res)).is_some() && plain && job.zone_cap.is_none()
+                })
+            };
+            machine.usable && !machine.spot && !tasks.is_empty() && few && long && movable && fit()
+        });
+        let freest = candidate.max_by(|&a, &b| {
+            let free = |m: usize| view.machines[m].free.gpus;
+            free(a).total_cmp(&free(b))
+        });
+        if let Some(name) = freest.map(|m| picture.machines[m].clone()) {
+            if let Some(m) = self.machines.get_mut(&name) {
+                log::info!(
+                    "event=consolidate machine={name} kind={} tasks={}",
+                    m.kind,
+                    m.places.len()
+                );
+                m.draining = Some(CONSOLIDATED);
+            }
+        }
+    }
+
     /// Decides which machines go back, and sends those whose return is recorded.
     fn give_back(&mut self, mail: &mut Mail) {
         let now = mail.now.mono;
         let w = &self.settings.deployment.workers;
         let lapse_ms = (w.lease_s * 1000.0 * DRIFT) as u64 + LEASE_MARGIN_MS;
         let silent_ms = (w.report_s * 2500.0) as u64 + 500;
-        let idle_ms = (self.operator.idle_return_s * 1000.0) as u64;
+        let idle_ms = |spot: bool| {
+            let factor = if spot { IDLE_SPOT } else { IDLE_ORDINARY };
+            (self.operator.idle_return_s * 1000.0 * factor) as u64
+        };
         let thrifty = self.settings.thrifty();
         let up = self.machines.values().filter(|m| m.synced && !m.failed);
         let (mut all, mut silent) = (0, 0);
@@ -158,9 +229,11 @@
                 Some("silent")
             } else if empty && m.notice_at.is_some() {
                 Some("under notice and empty")
+            } else if empty && m.draining == Some(CONSOLIDATED) {
+                Some(CONSOLIDATED)
             } else if empty && m.failed_jobs.len() >= FAULTY_JOBS {
                 Some("faulty")
-            } else if thrifty && empty && m.synced && now > m.idle_since + idle_ms {
+            } else if thrifty && empty && m.synced && now > m.idle_since + idle_ms(m.spot) {
                 Some("idle")
             } else {
                 None
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -124,6 +124,7 @@
     filed: [std::collections::HashSet<String>; 2],
     next_summary: u64,
     spent: fleet::Spent,
+    next_consolidation: u64,
 }
 
 impl Leader {
@@ -178,6 +179,7 @@
             filed: Default::default(),
             next_summary: 0,
             spent: fleet::Spent::default(),
+            next_consolidation: 0,
         }
     }
 
