--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -477,11 +477,13 @@
             None if filed => return,
             None => {
                 log::info!(
-                    "event=job_seen job={id} class={} team={} tasks={} gang={}",
+                    "event=job_seen job={id} class={} team={} tasks={} gang={} guess_s={:.0} due_s={:.0}",
                     record.spec.class,
                     record.spec.team,
                     record.spec.tasks,
-                    record.spec.shape == wire::users::Shape::Gang
+                    record.spec.shape == wire::users::Shape::Gang,
+                    record.spec.guess_s,
+                    record.spec.due_s.unwrap_or(0.0)
                 );
                 self.jobs.insert(id.to_string(), Job::new(record, version));
             }
