Peers end the lease of a leader whose connections are refused

Cause: after a crash of the leader nothing started for its lease of 3 s plus a poll. Ruled out: a shorter lease, which a starved process could lose.

--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -46,6 +46,10 @@
     busy_until: u64,
     paused_until: u64,
     known: Option<(LeaderRecord, u64)>,
+    /// Lease of the leader last seen.
+    known_lease: Option<u64>,
+    /// Term of the last leader whose lease was ended for it.
+    ended_term: u64,
     highest_term: u64,
     rng: fastrand::Rng,
 }
@@ -61,6 +65,8 @@
             busy_until: 0,
             paused_until: 0,
             known: None,
+            known_lease: None,
+            ended_term: 0,
             highest_term: 0,
             rng: fastrand::Rng::with_seed(boot),
         }
@@ -104,6 +110,26 @@
         }
     }
 
+    /// A peer that seems to have crashed: if it leads, its lease is ended for it, once a term. That is safe
+    /// even when wrong (a filter between nodes refuses connections too): it would lose its place, no more.
+    pub fn peer_refuses(&mut self, label: &str, mail: &mut Mail) {
+        let Some((record, _)) = self.known.as_ref().filter(|(r, _)| r.node == label) else {
+            return;
+        };
+        let (Some(lease), true) = (self.known_lease, record.term > self.ended_term) else {
+            return;
+        };
+        self.ended_term = record.term;
+        log::info!("event=leader_refuses node={label} term={}", record.term);
+        mail.state.push((
+            Priority::Leadership,
+            StateOp::Revoke(lease),
+            StateTag::Election(Step::Quit),
+        ));
+        self.next_at = mail.now.mono + STATE_RETRY_MS / 5 + self.rng.u64(..ELECTION_JITTER_MS);
+        self.busy_until = 0;
+    }
+
     /// Gives leadership up for a while, for a reason the others don't share.
     pub fn resign(&mut self, why: &'static str, mail: &mut Mail) {
         if let Role::Leader { lease, .. } = self.role {
@@ -208,6 +234,7 @@
                 if record.node != self.label {
                     self.role = Role::Follower;
                     self.known = Some((record, now));
+                    self.known_lease = item.lease;
                 } else if record.boot == self.boot {
                     self.found_ourselves(record, &item, mail);
                 } else if now >= self.paused_until {
--- a/crates/control/src/mail.rs
+++ b/crates/control/src/mail.rs
@@ -60,6 +60,11 @@
         /// Status and body.
         result: Result<(u16, Vec<u8>), CallError>,
     },
+    /// A peer's process is likely gone: its connection broke and a new one is refused.
+    PeerRefuses {
+        /// Its label.
+        from: String,
+    },
     /// A peer says something.
     Peer {
         /// Its label.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -117,6 +117,7 @@
             } => self.on_request(id, &method, &target, &body, &mut mail),
             Input::Reply { call, result } => self.on_reply(call, &result, &mut mail),
             Input::Peer { from, message } => self.on_peer(&from, message, &mut mail),
+            Input::PeerRefuses { from } => self.election.peer_refuses(&from, &mut mail),
         }
         self.deliver(mail);
     }
--- a/crates/control/tests/stories.rs
+++ b/crates/control/tests/stories.rs
@@ -167,7 +167,8 @@
     let placed = w.on_machines("run-6");
     assert_eq!(placed.len(), 2);
     w.crash(old);
-    assert!(w.until(8_000, |w| w.leader().is_some_and(|l| l != old)));
+    // Its peers see its connections refused and do not wait for its lease of 3 s.
+    assert!(w.until(1_500, |w| w.leader().is_some_and(|l| l != old)));
     assert!(w.leader().and_then(|l| w.term_of(l)) > term);
     w.run(5_000);
     assert_eq!(w.on_machines("run-6"), placed, "its tasks run on");
@@ -236,8 +237,8 @@
     assert_eq!(w.submit(other, &array("run-11", 2), runs(60_000)), 201);
     w.run(4_000);
     w.crash(old);
-    assert_eq!(w.abort(other, "run-11"), Some(Phase::Aborted));
     assert!(w.leader().is_none(), "nobody leads yet");
+    assert_eq!(w.abort(other, "run-11"), Some(Phase::Aborted));
     assert!(w.until(20_000, |w| w.on_machines("run-11").is_empty()));
     clean(&w);
 }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -175,6 +175,12 @@
         self.nodes[i].node = None;
         self.nodes[i].life += 1;
         self.state.watches.retain(|w| w.waiter.0 != i);
+        let from = self.settings[i].label.clone();
+        for j in (0..self.nodes.len()).filter(|j| *j != i) {
+            let life = self.nodes[j].life;
+            let input = Input::PeerRefuses { from: from.clone() };
+            self.push(self.now + DELAY, Event::ToNode(j, life, input));
+        }
     }
 
     /// The node that leads, if any does.
--- a/crates/vetchmount/src/daemon.rs
+++ b/crates/vetchmount/src/daemon.rs
@@ -31,6 +31,8 @@
     addr: SocketAddrV4,
     key: Option<usize>,
     retry_at: u64,
+    /// It was connected when its connection broke.
+    broke: bool,
 }
 
 struct Daemon {
@@ -70,6 +72,7 @@
                 addr: address(&s.addr)?,
                 key: None,
                 retry_at: 0,
+                broke: false,
             })
         })
         .collect::<Result<Vec<_>, String>>()?;
@@ -282,12 +285,19 @@
     }
 
     fn close_peer(&mut self, key: usize) {
+        let mut connected = false;
         if let Some(link) = self.peers.remove(&key) {
+            connected = link.connected;
             link.conn.close(&self.poller);
         }
         for s in &mut self.siblings {
             if s.key == Some(key) {
                 s.key = None;
+                s.broke = connected;
+                if connected {
+                    // At once, to learn whether the process is still there.
+                    s.retry_at = 0;
+                }
             }
         }
     }
@@ -298,7 +308,14 @@
         };
         if !link.connected {
             if link.conn.connected().is_err() {
-                return self.close_peer(key);
+                let gone = self.siblings.iter().find(|s| s.key == Some(key) && s.broke);
+                let from = gone.map(|s| s.label.clone());
+                self.close_peer(key);
+                if let Some(from) = from {
+                    let now = self.now();
+                    self.node.handle(now, Input::PeerRefuses { from });
+                }
+                return;
             }
             link.connected = true;
         }
