Reports wait briefly where no leader is known

Cause: after a crash workers were sent back to the dead leader, or lost a second trying nodes that knew of none. Ruled out: more polling alone. Kept for the shorter gap after a crash.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -20,6 +20,13 @@
 pub const LEADER_RENEW_MS: u64 = 800;
 /// Milliseconds between a follower's looks at the leader key; bounds how late a vacancy is noticed.
 pub const LEADER_POLL_MS: u64 = 600;
+/// Milliseconds between a follower's looks while it knows of no leader.
+pub const VACANT_POLL_MS: u64 = 200;
+/// Milliseconds a worker's report waits at a node that knows of no leader: less than the second it would lose by
+/// trying the next one, which knows of none either.
+pub const LIMBO_MS: u64 = 900;
+/// Reports that wait so at a time.
+pub const LIMBO_REPORTS: usize = 256;
 /// Milliseconds. Spread of the first try at a vacancy, so that two followers seldom collide.
 pub const ELECTION_JITTER_MS: u64 = 250;
 /// Milliseconds after which a candidate gives an attempt up and starts afresh.
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -120,6 +120,9 @@
             return;
         };
         self.ended_term = record.term;
+        // Workers must not be sent there any more.
+        let record = record.clone();
+        self.known = None;
         log::info!("event=leader_refuses node={label} term={}", record.term);
         mail.state.push((
             Priority::Leadership,
@@ -183,7 +186,13 @@
             }
             _ => {
                 self.round += 1;
-                self.next_at = now + LEADER_POLL_MS;
+                let vacant = self.leader_label(now).is_none();
+                let pause = if vacant {
+                    VACANT_POLL_MS
+                } else {
+                    LEADER_POLL_MS
+                };
+                self.next_at = now + pause;
                 let round = self.round;
                 self.ask(StateOp::Get(LEADER.into()), Step::Poll(round), mail);
             }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -31,6 +31,8 @@
     leader: Option<Leader>,
     /// Reports whose answers wait.
     held: Vec<(RequestId, Held)>,
+    /// Reports that came while no leader was known.
+    limbo: Vec<(RequestId, Vec<u8>, u64)>,
     peers: Peers,
     next_call: CallId,
     out: VecDeque<Output>,
@@ -61,6 +63,7 @@
             gateway: Gateway::new(d.teams.clone()),
             leader: None,
             held: Vec::new(),
+            limbo: Vec::new(),
             peers: Peers::new(settings.siblings.iter().map(|s| s.label.clone())),
             next_call: 0,
             out: VecDeque::new(),
@@ -98,7 +101,11 @@
         for wake in [self.state.next_wake(), self.cloud.next_wake()] {
             at = at.min(wake.unwrap_or(u64::MAX));
         }
-        if !self.gateway.is_idle() || !self.forwards.is_empty() || !self.held.is_empty() {
+        if !self.gateway.is_idle()
+            || !self.forwards.is_empty()
+            || !self.held.is_empty()
+            || !self.limbo.is_empty()
+        {
             at = at.min(self.last_now.mono + 200);
         }
         at.max(self.last_now.mono + 1)
@@ -327,14 +334,40 @@
             }
             return;
         }
+        if self.election.leader_label(now.mono).is_none() && self.limbo.len() < LIMBO_REPORTS {
+            self.limbo.push((id, body.to_vec(), now.mono));
+            return;
+        }
+        self.send_elsewhere(id, mail);
+    }
+
+    fn send_elsewhere(&self, id: RequestId, mail: &mut Mail) {
         let leader = self
             .election
-            .leader_label(now.mono)
+            .leader_label(mail.now.mono)
             .filter(|l| *l != self.settings.label)
             .map(str::to_string);
         mail.respond(id, 421, wire::encode(&Elsewhere { leader }));
     }
 
+    /// Goes on with reports that came while no leader was known.
+    fn leave_limbo(&mut self, mail: &mut Mail) {
+        if self.limbo.is_empty() {
+            return;
+        }
+        let now = mail.now.mono;
+        let known = self.election.leader_label(now).is_some();
+        for (id, body, since) in std::mem::take(&mut self.limbo) {
+            if self.leader.is_some() {
+                self.on_report(id, &body, mail);
+            } else if known || now > since + LIMBO_MS {
+                self.send_elsewhere(id, mail);
+            } else {
+                self.limbo.push((id, body, since));
+            }
+        }
+    }
+
     fn on_reply(
         &mut self,
         call: CallId,
@@ -481,6 +514,7 @@
                 && mail.news.is_empty()
                 && mail.out.is_empty();
             if quiet {
+                self.leave_limbo(&mut mail);
                 self.release(&mut mail);
                 if mail.out.is_empty() {
                     return;
