--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -207,6 +207,13 @@
         let timed = place.stage != Stage::Recorded;
         place.stage = Stage::Seen;
         let new = place.phase != Some(phase);
+        if new && log::log_enabled!(log::Level::Debug) {
+            log::debug!(
+                "event=task_phase task={id}/{task} try={} machine={} phase={phase:?}",
+                place.attempt,
+                place.machine
+            );
+        }
         place.phase = Some(phase);
         let machine = place.machine.clone();
         let runs = matches!(phase, TaskPhase::Running | TaskPhase::Saving);
