--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -129,6 +129,8 @@
 pub const CLOUD_TYPES_S: f64 = 60.0;
 /// Milliseconds to wait for the cloud.
 pub const CLOUD_TIMEOUT_MS: u64 = 5_000;
+/// Machines asked for at a time where machines are to stand ready; what can't be had is not given.
+pub const STANDING_ASK: u32 = 8;
 /// Machines per rental request (the protocol's limit).
 pub const RENT_MAX: u32 = 50;
 /// Machines per return request (the protocol's limit).
@@ -136,7 +138,7 @@
 /// Milliseconds a type, zone and kind that had no capacity is left alone, doubled by each further refusal.
 pub const NO_CAPACITY_MS: u64 = 5_000;
 /// Milliseconds such a pause grows to at most.
-pub const NO_CAPACITY_MAX_MS: u64 = 20_000;
+pub const NO_CAPACITY_MAX_MS: u64 = 10_000;
 /// Factor of a type's boot time after which a machine that has not come up is given back.
 pub const BOOT_PATIENCE: f64 = 3.0;
 /// Seconds added to that.
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -1,6 +1,7 @@
 //! How many machines of which type, zone and kind are wanted.
 
 use crate::{Res, View};
+use constants::STANDING_ASK;
 
 /// A type of machine in a zone, spot or not.
 #[derive(Debug, Clone)]
@@ -43,12 +44,12 @@
 ///
 /// Waiting tasks are packed into free and coming room; what is left over is packed into new machines, each task
 /// on the offer with the lowest price for the task. Where money does not count, every open offer is asked for
-/// one machine more than is needed, up to what the cloud gives.
+/// more, up to what the cloud gives: capacity shows only in what it refuses.
 pub fn plan_fleet(view: &View, fleet: &FleetView) -> Vec<RentWish> {
     let mut wishes = vec![0u32; fleet.offers.len()];
     if !fleet.thrifty {
         for (i, offer) in fleet.offers.iter().enumerate() {
-            wishes[i] = u32::from(offer.open);
+            wishes[i] = if offer.open { STANDING_ASK } else { 0 };
         }
         return to_list(wishes);
     }
