--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -37,8 +37,9 @@
 /// Milliseconds to wait for the state service before the outcome counts as unknown; it answers within a few
 /// hundred at worst, and users wait 2 s for a poll.
 pub const STATE_TIMEOUT_MS: u64 = 1_200;
-/// Milliseconds a watch is held open by the state service.
-pub const WATCH_HOLD_MS: u64 = 10_000;
+/// Milliseconds a watch is held open by the state service. Short, since a watch whose connection died silently
+/// hides aborts until it times out: hold and timeout together stay below `KEEPALIVE_MARGIN_MS`.
+pub const WATCH_HOLD_MS: u64 = 3_000;
 /// Milliseconds to wait after an answer of 429 or 503 before asking the state service again.
 pub const STATE_RETRY_MS: u64 = 250;
 /// Milliseconds without any good answer, the last one bad, after which users are refused at once.
@@ -82,6 +83,11 @@
 /// Milliseconds between repeats of a `kill` for the same task.
 pub const KILL_REPEAT_MS: u64 = 1_000;
 
+/// Tasks on one machine at most: a report of that many, 100 bytes each, stays below the body limit.
+pub const TASKS_PER_MACHINE: u32 = 400;
+/// Milliseconds before a transaction that the state service calls invalid is tried again.
+pub const INVALID_RETRY_MS: u64 = 5_000;
+
 /// Milliseconds of real time one round of decisions may take; the next goes on where it stopped.
 pub const ROUND_BUDGET_MS: u64 = 20;
 /// Milliseconds between two rounds of decisions.
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -83,6 +83,7 @@
     lead_version: u64,
     settings: Settings,
     operator: Operator,
+    stopwatch: crate::Stopwatch,
     loading: Loading,
     load_busy: bool,
     load_retry_at: u64,
@@ -131,6 +132,7 @@
     pub fn new(
         settings: &Settings,
         operator: &Operator,
+        stopwatch: crate::Stopwatch,
         term: u64,
         lead_version: u64,
         now: Now,
@@ -140,6 +142,7 @@
             lead_version,
             settings: settings.clone(),
             operator: operator.clone(),
+            stopwatch,
             loading: Loading::Pages {
                 prefix: JOBS,
                 from: String::new(),
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -5,7 +5,6 @@
 use sched::{
     pilots_of, queue_of, Decision, JobView, MachineView, Res, Round, RunningView, TeamView, View,
 };
-use std::time::{Duration, Instant};
 
 /// Numbers names for the scheduler.
 #[derive(Default)]
@@ -138,6 +137,7 @@
                 soon: total,
                 total,
                 usable: self.usable(m, now.mono),
+                slots: TASKS_PER_MACHINE.saturating_sub(m.places.len() as u32),
                 pilots: 0,
                 slow: m.is_slow(),
                 images: m.images.keys().map(|i| images.number(i)).collect(),
@@ -302,10 +302,10 @@
         self.plan_due = false;
         let picture = self.picture(now);
         let policy = self.operator.policy();
-        let started = Instant::now();
-        let budget = Duration::from_millis(ROUND_BUDGET_MS);
+        let stopwatch = self.stopwatch;
+        let until = stopwatch() + ROUND_BUDGET_MS * 1000;
         let (decisions, finished) =
-            Round::new(&policy, picture.view.clone()).run(|| started.elapsed() < budget);
+            Round::new(&policy, picture.view.clone()).run(|| stopwatch() < until);
         if !finished {
             log::info!("event=round_cut decisions={}", decisions.len());
             self.plan_due = true;
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -269,10 +269,10 @@
                 }
             }
             other => {
+                // Nothing that is written should ever be invalid; if it is, the rest must go on meanwhile.
                 log::error!("event=txn_invalid reply={other:?}");
-                if let Some(flight) = self.flights.remove(&number) {
-                    self.conflicted(flight, &[], mail);
-                }
+                self.retries
+                    .push((mail.now.mono + INVALID_RETRY_MS, number));
             }
         }
         self.flush(mail);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,3 +17,6 @@
 pub use mail::{CallError, CallId, Input, Now, Output, RequestId, Target};
 pub use node::Node;
 pub use settings::{Operator, Settings};
+
+/// Microseconds of a steady clock, to measure how long a round of decisions takes.
+pub type Stopwatch = fn() -> u64;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -24,6 +24,7 @@
 pub struct Node {
     settings: Settings,
     operator: Operator,
+    stopwatch: crate::Stopwatch,
     state: StateClient,
     cloud: CloudClient,
     election: Election,
@@ -53,8 +54,14 @@
 const PEER_REQUESTS: u64 = 1 << 62;
 
 impl Node {
-    /// A node that has just started. `boot` is drawn at random for each start.
-    pub fn new(settings: Settings, operator: Operator, now: Now, boot: u64) -> Self {
+    /// A node that has just started. `boot` is drawn at random for each start; `stopwatch` measures rounds.
+    pub fn new(
+        settings: Settings,
+        operator: Operator,
+        now: Now,
+        boot: u64,
+        stopwatch: crate::Stopwatch,
+    ) -> Self {
         let d = &settings.deployment;
         Node {
             state: StateClient::new(d.state.rps, d.state.write_rps),
@@ -78,6 +85,7 @@
             next_forward: 0,
             last_now: now,
             operator,
+            stopwatch,
             settings,
         }
     }
@@ -548,8 +556,14 @@
                 log::info!("event=elected term={term}");
                 self.cloud.clear();
                 self.state.drop_books();
-                let mut leader =
-                    Leader::new(&self.settings, &self.operator, term, version, mail.now);
+                let mut leader = Leader::new(
+                    &self.settings,
+                    &self.operator,
+                    self.stopwatch,
+                    term,
+                    version,
+                    mail.now,
+                );
                 leader.tick(false, mail);
                 self.leader = Some(leader);
             }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -273,7 +273,7 @@
             "GET",
             format!("/changes?under={prefix}&from={from}&hold_ms={WATCH_HOLD_MS}"),
             vec![],
-            WATCH_HOLD_MS + 2 * STATE_TIMEOUT_MS,
+            WATCH_HOLD_MS + STATE_TIMEOUT_MS,
         ),
     };
     Output::Call {
--- a/crates/control/tests/stories.rs
+++ b/crates/control/tests/stories.rs
@@ -403,6 +403,21 @@
     clean(&w);
 }
 
+#[test]
+fn rounds_cut_short_by_their_budget_go_on_where_they_stopped() {
+    use std::sync::atomic::{AtomicU64, Ordering};
+    static TICKS: AtomicU64 = AtomicU64::new(0);
+    let mut w = world(1, 8, 0.0);
+    // Each look at the clock takes 8 ms, so a round gets through two decisions.
+    w.stopwatch = || TICKS.fetch_add(8_000, Ordering::Relaxed);
+    w.crash(0);
+    w.start(0);
+    w.run(4_000);
+    assert_eq!(w.submit(0, &array("run-23", 30), runs(60_000)), 201);
+    assert!(w.until(10_000, |w| w.on_machines("run-23").len() == 30));
+    clean(&w);
+}
+
 #[test]
 fn a_service_runs_on_until_it_is_cancelled() {
     let mut w = world(1, 1, 0.0);
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -40,6 +40,8 @@
     pub now: u64,
     settings: Vec<Settings>,
     operator: Operator,
+    /// How nodes started from now on measure their rounds.
+    pub stopwatch: control::Stopwatch,
     nodes: Vec<Slot>,
     queue: BTreeMap<(u64, u64), Event>,
     next_event: u64,
@@ -118,6 +120,7 @@
             now: 1_000,
             settings,
             operator: Operator::default(),
+            stopwatch: || 0,
             nodes: Vec::new(),
             queue: BTreeMap::new(),
             next_event: 0,
@@ -167,6 +170,7 @@
             self.operator.clone(),
             now,
             boot,
+            self.stopwatch,
         ));
     }
 
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -24,6 +24,8 @@
     pub total: Res,
     /// Whether new tasks may go there.
     pub usable: bool,
+    /// How many more tasks it may hold, whatever their size.
+    pub slots: u32,
     /// Pilots running there.
     pub pilots: u32,
     /// Whether it is slower than its kin.
@@ -294,6 +296,7 @@
     fn allowed(&self, job: usize, machine: usize) -> bool {
         let (j, m) = (&self.view.jobs[job], &self.view.machines[machine]);
         m.usable
+            && m.slots > 0
             && (j.spot || !m.spot)
             && j.zone.is_none_or(|z| z == m.zone)
             && j.kinds.as_ref().is_none_or(|k| k.contains(&m.kind))
@@ -362,6 +365,7 @@
         m.free.sub(&task);
         m.soon.sub(&task);
         m.pilots += u32::from(pilot);
+        m.slots = m.slots.saturating_sub(1);
         let zone = m.zone;
         let j = &mut self.view.jobs[job];
         match j.zones_used.iter_mut().find(|(z, _)| *z == zone) {
@@ -390,7 +394,7 @@
                 (
                     self.misfit(job, m, false),
                     m,
-                    room(view).holds(&j.task, need),
+                    room(view).holds(&j.task, need.min(view.slots)),
                 )
             })
             .filter(|(_, _, n)| *n > 0)
@@ -710,6 +714,7 @@
             soon: total,
             total,
             usable: true,
+            slots: 400,
             pilots: 0,
             slow: false,
             images: vec![0],
--- a/crates/vetchmount/src/daemon.rs
+++ b/crates/vetchmount/src/daemon.rs
@@ -89,7 +89,7 @@
         settings.public_addr,
         settings.back
     );
-    let node = Node::new(settings, operator, now_since(start), boot);
+    let node = Node::new(settings, operator, now_since(start), boot, stopwatch);
     let daemon = Daemon {
         poller,
         public,
@@ -108,6 +108,11 @@
     daemon.serve()
 }
 
+fn stopwatch() -> u64 {
+    static START: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
+    START.get_or_init(Instant::now).elapsed().as_micros() as u64
+}
+
 fn now_since(start: Instant) -> Now {
     let unix = SystemTime::now()
         .duration_since(UNIX_EPOCH)
