--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -120,6 +120,9 @@
 /// bounded, so that it does not starve.
 pub const HOPELESS_S: f64 = 200.0;
 
+/// Seconds that room on a machine without the image counts as worse, when tasks are stopped for it.
+pub const FETCH_COST_S: f64 = 40.0;
+
 /// Milliseconds of pause after a job's first failed task, doubled by each further one.
 pub const ERROR_PAUSE_MS: u64 = 2_000;
 /// Milliseconds a job that goes on failing is left alone at most.
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -343,7 +343,8 @@
                     let id = picture.jobs[job].clone();
                     let grace = self.jobs.get(&id).map_or(0.0, |j| j.spec.save_s + 1.0);
                     log::info!("event=preempt task={id}/{task} by={}", picture.jobs[by]);
-                    self.stop_task(&id, task, grace, "preempted", now);
+                    self.stop_task(&id, task, grace, super::reports::PREEMPTED, now);
+                    self.next_housekeeping = now.mono;
                 }
             }
         }
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -14,6 +14,9 @@
     format!("{job}/{task}")
 }
 
+/// Why a task is stopped whose room another job has a right to.
+pub(super) const PREEMPTED: &str = "preempted";
+
 /// What to do with an answer to a report.
 pub(crate) enum Heard {
     /// Answer with these orders.
@@ -582,7 +585,9 @@
                 let fresh = now < s.since + KILL_REPEAT_MS;
                 let unheard = m.last_report.is_none_or(|at| now > at + report_ms);
                 let gang = job.is_gang() && job.tasks() > 1 && fresh;
-                if p.stage != Stage::Ready && (gang || (job.aborted && unheard)) {
+                // Somebody waits for this room.
+                let preempted = s.why == PREEMPTED && fresh;
+                if p.stage != Stage::Ready && (gang || preempted || (job.aborted && unheard)) {
                     orders.push(stop(&task_name(id, *task), p.attempt, s.grace_s));
                 }
             }
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -6,6 +6,7 @@
 //! after the one reached.
 
 use crate::{weight_of, Policy, Res};
+use constants::FETCH_COST_S;
 
 /// A machine that tasks could be placed on.
 #[derive(Debug, Clone)]
@@ -585,6 +586,13 @@
             });
             let mut room = self.view.machines[m].soon;
             let (mut chosen, mut cost) = (Vec::new(), 0.0);
+            if !self.view.machines[m].images.contains(&j.image) {
+                // The room is wanted soon, and a fetch may take longer than the stopped tasks do to save.
+                cost += FETCH_COST_S;
+            }
+            if self.view.machines[m].slow {
+                cost += 2.0 * FETCH_COST_S;
+            }
             let mut teams = self.view.teams.clone();
             for r in victims {
                 if room.fits(&j.task) {
