--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -140,6 +140,8 @@
 pub const CLOUD_TIMEOUT_MS: u64 = 5_000;
 /// Machines asked for at a time where machines are to stand ready; what can't be had is not given.
 pub const STANDING_ASK: u32 = 8;
+/// Factor of the shortest boot time: room that becomes free within that is waited for instead of rented.
+pub const RENT_HORIZON: f64 = 0.4;
 /// Machines per rental request (the protocol's limit).
 pub const RENT_MAX: u32 = 50;
 /// Machines per return request (the protocol's limit).
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -367,6 +367,7 @@
             offers,
             coming,
             thrifty: self.settings.thrifty(),
+            horizon_s: types.iter().map(|t| t.boot_s).fold(f64::MAX, f64::min) * RENT_HORIZON,
         };
         let most = (self.settings.deployment.state.txn_ops as u32).clamp(1, RENT_MAX);
         for wish in plan_fleet(&picture.view, &fleet) {
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -196,6 +196,7 @@
                     team,
                     priority: job.spec.priority as u8,
                     res: task,
+                    left_s: left,
                     movable: place.stop.is_none()
                         && place.stage == Stage::Seen
                         && (!job.is_gang() || job.tasks() == 1)
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -29,6 +29,8 @@
     pub coming: Vec<u32>,
     /// Whether the objectives ask about money.
     pub thrifty: bool,
+    /// Seconds until a machine rented now could run a task.
+    pub horizon_s: f64,
 }
 
 /// Machines to ask for.
@@ -53,11 +55,17 @@
         }
         return to_list(wishes);
     }
+    // Room that running tasks leave before a new machine could be up is as good as the new machine.
+    let mut coming_free: Vec<Res> = view.machines.iter().map(|m| m.free).collect();
+    for r in view.running.iter().filter(|r| r.left_s < fleet.horizon_s) {
+        coming_free[r.machine].add(&r.res);
+    }
     let mut rooms: Vec<(usize, usize, bool, Res)> = view
         .machines
         .iter()
-        .filter(|m| m.usable)
-        .map(|m| (m.kind, m.zone, m.spot, m.free))
+        .zip(coming_free)
+        .filter(|(m, _)| m.usable)
+        .map(|(m, free)| (m.kind, m.zone, m.spot, free))
         .collect();
     for (offer, n) in fleet.offers.iter().zip(&fleet.coming) {
         for _ in 0..*n {
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -163,6 +163,8 @@
     pub movable: bool,
     /// Seconds of work that stopping would cost.
     pub cost_s: f64,
+    /// Seconds it is expected to go on for.
+    pub left_s: f64,
 }
 
 /// The cluster as one round sees it.
@@ -887,6 +889,7 @@
                 res: theirs.task,
                 movable: true,
                 cost_s: f64::from(task),
+                left_s: 60.0,
             })
             .collect();
         let view = View {
@@ -967,6 +970,7 @@
             res: res(1.0),
             movable: true,
             cost_s: 0.0,
+            left_s: 60.0,
         }];
         let d = decide(View {
             machines: vec![full, elsewhere],
