--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -260,6 +260,7 @@
             (Stage::Aborting, StateReply::Committed { .. }) => {
                 if let Some(t) = self.tickets.remove(&number) {
                     log::info!("event=job_aborted job={}", t.id);
+                    mail.news.push(News::Aborted(t.id.clone()));
                     mail.respond(t.request, 200, status_body(&t.id, Phase::Aborted, None));
                 }
             }
@@ -314,6 +315,10 @@
         let Some(t) = self.tickets.remove(&number) else {
             return;
         };
+        if record.aborted {
+            // Perhaps by a transaction of ours whose answer was lost, or of a node that crashed since.
+            mail.news.push(News::Aborted(t.id.clone()));
+        }
         let counts = self.counts.get(&t.id).copied().unwrap_or_default();
         let (phase, counts) = match (record.aborted, counts.1 > 0) {
             (true, _) => (Phase::Aborted, None),
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -495,6 +495,17 @@
         self.mark_if_final(id);
     }
 
+    /// A node is about to confirm a cancellation. The record follows by the watch, unless the state service has
+    /// gone in between: the tasks must stop all the same.
+    pub fn abort_told(&mut self, id: &str, now: Now) {
+        if let Some(job) = self.jobs.get_mut(id).filter(|j| !j.aborted) {
+            job.aborted = true;
+            log::info!("event=abort_told job={id} placed={}", job.placed);
+            self.abort_places(id, now);
+            self.mark_if_final(id);
+        }
+    }
+
     /// Cancelled: what was not sent goes at once, the rest is killed, whatever it had been told before. Called
     /// when an abort is seen and for jobs that were already cancelled when the books were loaded.
     fn abort_places(&mut self, id: &str, now: Now) {
--- a/crates/control/src/mail.rs
+++ b/crates/control/src/mail.rs
@@ -136,6 +136,8 @@
     Deposed(&'static str),
     /// A job is over for good.
     JobOver(String, Final),
+    /// A user is about to be told that a job is cancelled.
+    Aborted(String),
     /// Machine types were read or changed.
     Types(Vec<wire::cloud::MachineType>),
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -35,6 +35,9 @@
     /// Reports that came while no leader was known.
     limbo: Vec<(RequestId, Vec<u8>, u64)>,
     peers: Peers,
+    /// Number of this process, and cancellations it has confirmed.
+    boot: u64,
+    aborts: u64,
     next_call: CallId,
     out: VecDeque<Output>,
     started: u64,
@@ -72,6 +75,8 @@
             held: Vec::new(),
             limbo: Vec::new(),
             peers: Peers::new(settings.siblings.iter().map(|s| s.label.clone())),
+            boot,
+            aborts: 0,
             next_call: 0,
             out: VecDeque::new(),
             started: now.mono,
@@ -183,12 +188,12 @@
         }
         // Without the state service, jobs may have been cancelled that we don't know of: their tasks must not
         // be kept alive beyond `cancel_s`. That can be excluded up to the last good answer we had, and beyond
-        // it as long as all peers say that they get none either.
+        // it as long as all peers tell us of the cancellations they confirm.
         let w = &self.settings.deployment.workers;
         let allowance = (w.cancel_s - w.lease_s) * 1000.0;
         let allowance = (allowance as u64).saturating_sub(KEEPALIVE_MARGIN_MS);
         let good = self.state.last_good();
-        let clean_until = self.peers.no_state_until(good).unwrap_or(0).max(good);
+        let clean_until = self.peers.aborts_known_until(good);
         good > 0 && now < clean_until + allowance
     }
 
@@ -202,7 +207,9 @@
         let out_of_state = !self.election.lease_holds(now)
             && now > self.state.last_good() + LEADER_LEASE_MS
             && self.peers.with_state(now).is_some();
-        let deaf = leader.hears_nobody(now) && self.peers.hear_workers(now);
+        let deaf = self.election.lease_holds(now)
+            && leader.hears_nobody(now)
+            && self.peers.hear_workers(now);
         if out_of_state {
             self.election
                 .resign("a peer reaches the state service", mail);
@@ -240,6 +247,8 @@
                     worker_ago_ms: self.last_worker.map(ago),
                     sent: now,
                     echo,
+                    boot: self.boot,
+                    aborts: self.aborts,
                 },
             });
         }
@@ -424,6 +433,8 @@
                 worker_ago_ms,
                 sent,
                 echo,
+                boot,
+                aborts,
                 ..
             } => {
                 let beat = PeerState {
@@ -432,10 +443,18 @@
                     worker_ago_ms,
                     sent,
                     echo,
+                    boot,
+                    aborts,
                 };
                 self.peers.on_beat(from, beat);
                 self.election.heard_term(term, mail);
             }
+            PeerMessage::Aborted { number, job } => {
+                self.peers.on_abort(from, number);
+                if let Some(leader) = &mut self.leader {
+                    leader.abort_told(&job, mail.now);
+                }
+            }
             PeerMessage::Counts { term, jobs } => {
                 if term >= self.election.highest_term() && self.leader.is_none() {
                     self.gateway.counts = jobs.into_iter().map(|(id, d, r)| (id, (d, r))).collect();
@@ -574,6 +593,18 @@
                 self.state.drop_books();
                 self.election.fenced(mail);
             }
+            News::Aborted(job) => {
+                self.aborts += 1;
+                if let Some(leader) = &mut self.leader {
+                    leader.abort_told(&job, mail.now);
+                }
+                let number = self.aborts;
+                // Goes out before the user's answer, and before the next beat counts it.
+                self.out.push_back(Output::Peer {
+                    to: None,
+                    message: PeerMessage::Aborted { number, job },
+                });
+            }
             News::JobOver(..) | News::Types(_) => {}
         }
     }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -15,24 +15,58 @@
     pub sent: u64,
     /// Our clock at a moment that certainly came before that beat was sent (beats may be held up on the way).
     pub echo: u64,
+    /// Its process.
+    pub boot: u64,
+    /// Cancellations it had confirmed.
+    pub aborts: u64,
+}
+
+/// Cancellations heard from a peer's process, without a gap since a moment of ours.
+#[derive(Debug, Clone, Copy, Default)]
+struct Heard {
+    boot: u64,
+    aborts: u64,
+    since: u64,
 }
 
 /// Beats of the peers.
 #[derive(Default)]
 pub(crate) struct Peers {
     known: BTreeMap<String, PeerState>,
+    heard: BTreeMap<String, Heard>,
 }
 
 impl Peers {
     pub fn new(labels: impl Iterator<Item = String>) -> Self {
         Peers {
             known: labels.map(|l| (l, PeerState::default())).collect(),
+            heard: BTreeMap::new(),
         }
     }
 
     pub fn on_beat(&mut self, from: &str, beat: PeerState) {
-        if let Some(p) = self.known.get_mut(from) {
-            *p = beat;
+        let Some(p) = self.known.get_mut(from) else {
+            return;
+        };
+        let heard = self.heard.entry(from.to_string()).or_default();
+        if heard.boot != beat.boot || heard.aborts != beat.aborts {
+            // Another process, or a notice went missing with a broken connection: count anew from here.
+            let (boot, aborts, since) = (beat.boot, beat.aborts, beat.at);
+            *heard = Heard {
+                boot,
+                aborts,
+                since,
+            };
+        }
+        *p = beat;
+    }
+
+    /// A peer told of a cancellation it is about to confirm.
+    pub fn on_abort(&mut self, from: &str, number: u64) {
+        if let Some(heard) = self.heard.get_mut(from) {
+            if number == heard.aborts + 1 {
+                heard.aborts = number;
+            }
         }
     }
 
@@ -55,19 +89,22 @@
             .map(|(l, _)| l.as_str())
     }
 
-    /// Until when it is known that no peer was answered by the state service after `mark`: abort requests that
-    /// peers confirmed later than that can't be excluded.
-    pub fn no_state_until(&self, mark: u64) -> Option<u64> {
+    /// Until when every cancellation confirmed by a peer is known here, given that all up to `good` are (by our
+    /// watch). Notices and beats of a process come in order, so a beat vouches for the time it was sent, if no
+    /// notice has been missed since before `good`.
+    pub fn aborts_known_until(&self, good: u64) -> u64 {
         let mut until = u64::MAX;
-        for p in self.known.values() {
-            // The latest moment at which its last good answer can have come.
-            let last_good = p.at.saturating_sub(p.state_ago_ms);
-            if p.at == 0 || last_good > mark {
-                return None;
-            }
-            until = until.min(p.echo);
+        for (label, p) in &self.known {
+            let whole = self
+                .heard
+                .get(label)
+                .is_some_and(|h| h.since > 0 && h.since <= good);
+            until = until.min(if whole { p.echo } else { 0 });
+        }
+        if self.known.is_empty() {
+            return good;
         }
-        Some(until)
+        until.max(good)
     }
 
     /// Whether a peer heard a worker within the last moments.
@@ -76,3 +113,41 @@
             .any(|(_, p)| p.worker_ago_ms.is_some_and(|ms| ms < PEER_FRESH_MS))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn beat(at: u64, boot: u64, aborts: u64) -> PeerState {
+        PeerState {
+            at,
+            echo: at - 10,
+            boot,
+            aborts,
+            ..PeerState::default()
+        }
+    }
+
+    #[test]
+    fn peers_vouch_only_without_a_missed_notice_or_a_restart() {
+        let mut p = Peers::new(["a".to_string()].into_iter());
+        assert_eq!(p.aborts_known_until(500), 500, "nothing heard yet");
+        p.on_beat("a", beat(100, 7, 0));
+        p.on_abort("a", 1);
+        p.on_beat("a", beat(900, 7, 1));
+        assert_eq!(p.aborts_known_until(500), 890);
+        // A notice that never came.
+        p.on_beat("a", beat(1_000, 7, 2));
+        assert_eq!(p.aborts_known_until(500), 500);
+        assert_eq!(
+            p.aborts_known_until(1_000),
+            1_000,
+            "the watch told us since"
+        );
+        p.on_beat("a", beat(1_200, 7, 2));
+        assert_eq!(p.aborts_known_until(1_000), 1_190);
+        // Another process.
+        p.on_beat("a", beat(1_400, 8, 0));
+        assert_eq!(p.aborts_known_until(1_000), 1_000);
+    }
+}
--- a/crates/control/tests/stories.rs
+++ b/crates/control/tests/stories.rs
@@ -265,12 +265,13 @@
 #[test]
 fn an_outage_of_the_state_service_longer_than_a_lease_costs_no_task() {
     let mut w = world(3, 1, 0.0);
-    assert_eq!(w.submit(0, &array("run-13", 3), runs(40_000)), 201);
+    assert_eq!(w.submit(0, &array("run-13", 3), runs(80_000)), 201);
     w.run(4_000);
     let placed = w.on_machines("run-13");
     assert_eq!(placed.len(), 3);
     w.state_down = true;
-    w.run(25_000);
+    // Longer than `cancel_s`: peers vouch that no cancellation was confirmed meanwhile.
+    w.run(60_000);
     assert_eq!(w.on_machines("run-13"), placed, "kept alive");
     w.state_down = false;
     w.state.refresh_leases(w.now);
@@ -280,6 +281,25 @@
     clean(&w);
 }
 
+#[test]
+fn without_state_and_peers_a_leader_lets_leases_run_out_in_time_for_cancellations() {
+    let mut w = world(3, 1, 0.0);
+    let leader = w.leader().expect("leader");
+    let others: Vec<usize> = (0..3).filter(|i| *i != leader).collect();
+    assert_eq!(w.submit(leader, &array("run-24", 2), runs(500_000)), 201);
+    w.run(4_000);
+    assert_eq!(w.on_machines("run-24").len(), 2);
+    // The workers reach only the leader, which has lost everybody else.
+    w.refused.insert(leader);
+    w.silent_peers.insert(leader);
+    w.stuck_workers = Some(leader);
+    w.run(500);
+    assert_eq!(w.abort(others[0], "run-24"), Some(Phase::Aborted));
+    w.run(60_000);
+    assert!(w.on_machines("run-24").is_empty());
+    clean(&w);
+}
+
 #[test]
 fn a_cut_machines_tasks_start_elsewhere_only_after_its_lease() {
     let mut w = world(1, 1, 0.0);
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -55,6 +55,10 @@
     pub state_down: bool,
     /// Nodes that the state service refuses.
     pub refused: BTreeSet<usize>,
+    /// Nodes that hear nothing from their peers and are not heard.
+    pub silent_peers: BTreeSet<usize>,
+    /// The only node that workers reach.
+    pub stuck_workers: Option<usize>,
     /// Nodes whose transactions are executed, but late by this much, and not answered.
     pub late_txns: BTreeMap<usize, u64>,
     /// Workers by machine name.
@@ -130,6 +134,8 @@
             state: FakeState::default(),
             state_down: false,
             refused: BTreeSet::new(),
+            silent_peers: BTreeSet::new(),
+            stuck_workers: None,
             late_txns: BTreeMap::new(),
             workers: BTreeMap::new(),
             capacity: 0,
@@ -381,7 +387,8 @@
                     let from = self.settings[i].label.clone();
                     for j in 0..self.nodes.len() {
                         let named = to.as_ref().is_none_or(|l| *l == self.settings[j].label);
-                        if j != i && named {
+                        let cut = |n: usize| self.silent_peers.contains(&n);
+                        if j != i && named && !cut(i) && !cut(j) {
                             let life = self.nodes[j].life;
                             let (from, message) = (from.clone(), message.clone());
                             let input = Input::Peer { from, message };
@@ -436,7 +443,12 @@
                 let jobs = self.behaviour.clone();
                 let now = self.now;
                 if let Some(w) = self.workers.get_mut(&name) {
-                    if now >= w.cut_until && direct.term >= w.term && direct.session == w.session {
+                    let reached = self.stuck_workers.is_none();
+                    if reached
+                        && now >= w.cut_until
+                        && direct.term >= w.term
+                        && direct.session == w.session
+                    {
                         w.term = direct.term;
                         w.execute(&direct.orders, |t| behave(&jobs, t), now);
                     }
@@ -503,6 +515,7 @@
             }
         }
         let mut reports = Vec::new();
+        let stuck = self.stuck_workers;
         let nodes = self.nodes.len();
         self.workers
             .retain(|_, w| w.taken_at.is_none_or(|at| now < at));
@@ -523,7 +536,7 @@
                 let report = w.report(KIND, now);
                 w.in_flight = Some((now, w.seq));
                 w.report_at = now + report_ms;
-                if now >= w.cut_until {
+                if now >= w.cut_until && stuck.is_none_or(|n| n == w.node) {
                     reports.push((w.name.clone(), w.node, w.seq, report));
                 }
             }
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -25,6 +25,17 @@
         sent: u64,
         /// `sent` of the last beat the sender had from the receiver.
         echo: u64,
+        /// Number drawn at the start of the sender's process.
+        boot: u64,
+        /// Cancellations this process has confirmed to users so far.
+        aborts: u64,
+    },
+    /// A cancellation, told before its user is.
+    Aborted {
+        /// Number of this cancellation among those of the process.
+        number: u64,
+        /// Job.
+        job: String,
     },
     /// Tasks (done, running) of open jobs, from the leader, for display.
     Counts {
