Reports reach a leader that workers do not reach through its peers

Ruled out: earlier resigning (workers only say so after 5 s of a 12 s lease). Followers now pass reports on while the leader's beats say that none reach it.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -14,10 +14,10 @@
 use wire::records::TYPES;
 use wire::workers::{Elsewhere, Report};
 
-/// A user's request that a peer is handling for us.
+/// A request that a peer is handling for us.
 struct Forwarded {
     request: RequestId,
-    since: u64,
+    until: u64,
 }
 
 /// One controller.
@@ -46,6 +46,8 @@
     types_busy: bool,
     last_worker: Option<u64>,
     silent_since: Option<u64>,
+    /// Since when peers reach the state service and this leader does not.
+    alone_since: Option<u64>,
     forwards: HashMap<u64, Forwarded>,
     /// Requests that we handle for peers: (peer, its number) by our number.
     serving: HashMap<RequestId, (String, u64)>,
@@ -55,6 +57,7 @@
 
 /// Numbers of requests forwarded by peers, apart from those of our own sockets.
 const PEER_REQUESTS: u64 = 1 << 62;
+const REPORT: &str = "/v1/report";
 
 impl Node {
     /// A node that has just started. `boot` is drawn at random for each start; `stopwatch` measures rounds.
@@ -85,6 +88,7 @@
             types_busy: false,
             last_worker: None,
             silent_since: None,
+            alone_since: None,
             forwards: HashMap::new(),
             serving: HashMap::new(),
             next_forward: 0,
@@ -165,12 +169,12 @@
         let late: Vec<u64> = self
             .forwards
             .iter()
-            .filter(|(_, f)| now.mono > f.since + USER_DEADLINE_MS)
+            .filter(|(_, f)| now.mono > f.until)
             .map(|(n, _)| *n)
             .collect();
         for number in late {
             if let Some(f) = self.forwards.remove(&number) {
-                mail.refuse(f.request, 503, "no controller reaches the state service");
+                mail.refuse(f.request, 503, "no answer from the peer");
             }
         }
         self.deliver(mail);
@@ -210,7 +214,12 @@
         let deaf = self.election.lease_holds(now)
             && leader.hears_nobody(now)
             && self.peers.hear_workers(now);
-        if out_of_state {
+        if !out_of_state {
+            self.alone_since = None;
+        }
+        // After an outage a peer may simply be the first to notice its end.
+        if out_of_state && now > *self.alone_since.get_or_insert(now) + STATE_DOWN_MS {
+            self.alone_since = None;
             self.election
                 .resign("a peer reaches the state service", mail);
         } else if deaf {
@@ -312,9 +321,14 @@
             return mail.refuse(request, 503, "too many requests in hand");
         }
         self.next_forward += 1;
-        let since = mail.now.mono;
+        let patience = if target == REPORT {
+            REPORT_FORWARD_MS
+        } else {
+            USER_DEADLINE_MS
+        };
+        let until = mail.now.mono + patience;
         self.forwards
-            .insert(self.next_forward, Forwarded { request, since });
+            .insert(self.next_forward, Forwarded { request, until });
         mail.out.push(Output::Peer {
             to,
             message: PeerMessage::Forward {
@@ -328,7 +342,9 @@
 
     fn on_report(&mut self, id: RequestId, body: &[u8], mail: &mut Mail) {
         let now = mail.now;
-        self.last_worker = Some(now.mono);
+        if id < PEER_REQUESTS {
+            self.last_worker = Some(now.mono);
+        }
         let report: Report = match wire::decode(body) {
             Ok(report) => report,
             Err(why) => return mail.refuse(id, 400, &why.to_string()),
@@ -355,6 +371,14 @@
             self.limbo.push((id, body.to_vec(), now.mono));
             return;
         }
+        // A leader that lives but that no worker reaches gets the reports through us: sent to it, the worker
+        // would lose another 4 s, and its lease before long.
+        let deaf_ms = (self.settings.deployment.workers.report_s * 1500.0) as u64 + PEER_BEAT_MS;
+        let leader = self.election.leader_label(now.mono).map(str::to_string);
+        let deaf = leader.filter(|l| self.peers.is_deaf(l, deaf_ms, now.mono));
+        if deaf.is_some() && id < PEER_REQUESTS {
+            return self.forward(id, "POST", REPORT, body, deaf, mail);
+        }
         self.send_elsewhere(id, mail);
     }
 
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -107,6 +107,13 @@
         until.max(good)
     }
 
+    /// Whether a peer lives but no worker has reached it directly for `ms`.
+    pub fn is_deaf(&self, label: &str, ms: u64, now: u64) -> bool {
+        let mut fresh = self.fresh(now);
+        let peer = fresh.find(|(l, _)| l.as_str() == label);
+        peer.is_some_and(|(_, p)| p.worker_ago_ms.is_none_or(|ago| ago > ms))
+    }
+
     /// Whether a peer heard a worker within the last moments.
     pub fn hear_workers(&self, now: u64) -> bool {
         self.fresh(now)
--- a/crates/control/tests/stories.rs
+++ b/crates/control/tests/stories.rs
@@ -281,6 +281,23 @@
     clean(&w);
 }
 
+/// Found on an own day: every lease ran out while a leader that no worker reached made room for a peer.
+#[test]
+fn a_leader_that_workers_do_not_reach_gets_their_reports_through_its_peers() {
+    let mut w = world(3, 2, 0.0);
+    let leader = w.leader().expect("leader");
+    assert_eq!(w.submit(leader, &array("run-25", 4), runs(40_000)), 201);
+    w.run(4_000);
+    let placed = w.on_machines("run-25");
+    assert_eq!(placed.len(), 4);
+    w.deaf.insert(leader);
+    w.run(30_000);
+    assert_eq!(w.on_machines("run-25"), placed, "no lease ran out");
+    assert_eq!(w.leader(), Some(leader));
+    assert!(done(&mut w, "run-25", 30_000));
+    clean(&w);
+}
+
 #[test]
 fn without_state_and_peers_a_leader_lets_leases_run_out_in_time_for_cancellations() {
     let mut w = world(3, 1, 0.0);
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -57,6 +57,8 @@
     pub refused: BTreeSet<usize>,
     /// Nodes that hear nothing from their peers and are not heard.
     pub silent_peers: BTreeSet<usize>,
+    /// Nodes that no worker reaches.
+    pub deaf: BTreeSet<usize>,
     /// The only node that workers reach.
     pub stuck_workers: Option<usize>,
     /// Nodes whose transactions are executed, but late by this much, and not answered.
@@ -135,6 +137,7 @@
             state_down: false,
             refused: BTreeSet::new(),
             silent_peers: BTreeSet::new(),
+            deaf: BTreeSet::new(),
             stuck_workers: None,
             late_txns: BTreeMap::new(),
             workers: BTreeMap::new(),
@@ -536,7 +539,8 @@
                 let report = w.report(KIND, now);
                 w.in_flight = Some((now, w.seq));
                 w.report_at = now + report_ms;
-                if now >= w.cut_until && stuck.is_none_or(|n| n == w.node) {
+                let deaf = self.deaf.contains(&w.node);
+                if now >= w.cut_until && !deaf && stuck.is_none_or(|n| n == w.node) {
                     reports.push((w.name.clone(), w.node, w.seq, report));
                 }
             }
