Pass reports on only for a settled leader, and probe whether workers reach it again

Cause: after an election followers passed on the reports of all workers, which then stayed with them for good.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -25,6 +25,8 @@
 /// Milliseconds a worker's report waits at a node that knows of no leader: less than the second it would lose by
 /// trying the next one, which knows of none either.
 pub const LIMBO_MS: u64 = 900;
+/// Milliseconds between workers sent to a leader that none reaches, to find out whether it is reached again.
+pub const PROBE_MS: u64 = 20_000;
 /// Milliseconds a report passed on to the leader may take: less than the worker's patience.
 pub const REPORT_FORWARD_MS: u64 = 3_500;
 /// Reports that wait so at a time.
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -46,6 +46,8 @@
     busy_until: u64,
     paused_until: u64,
     known: Option<(LeaderRecord, u64)>,
+    /// Since when that one is known.
+    known_since: u64,
     /// Lease of the leader last seen.
     known_lease: Option<u64>,
     /// Term of the last leader whose lease was ended for it.
@@ -65,6 +67,7 @@
             busy_until: 0,
             paused_until: 0,
             known: None,
+            known_since: 0,
             known_lease: None,
             ended_term: 0,
             highest_term: 0,
@@ -100,6 +103,11 @@
             .map(|(r, _)| r.node.as_str())
     }
 
+    /// Since when this node has known the present leader.
+    pub fn known_since(&self) -> u64 {
+        self.known_since
+    }
+
     /// A peer knows of a term.
     pub fn heard_term(&mut self, term: u64, mail: &mut Mail) {
         self.highest_term = self.highest_term.max(term);
@@ -242,6 +250,9 @@
                 self.highest_term = self.highest_term.max(record.term);
                 if record.node != self.label {
                     self.role = Role::Follower;
+                    if self.known.as_ref().is_none_or(|(r, _)| *r != record) {
+                        self.known_since = now;
+                    }
                     self.known = Some((record, now));
                     self.known_lease = item.lease;
                 } else if record.boot == self.boot {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -46,6 +46,8 @@
     types_busy: bool,
     last_worker: Option<u64>,
     silent_since: Option<u64>,
+    /// When a worker is next sent to a leader that workers do not reach.
+    next_probe: u64,
     /// Since when peers reach the state service and this leader does not.
     alone_since: Option<u64>,
     forwards: HashMap<u64, Forwarded>,
@@ -88,6 +90,7 @@
             types_busy: false,
             last_worker: None,
             silent_since: None,
+            next_probe: now.mono + PROBE_MS,
             alone_since: None,
             forwards: HashMap::new(),
             serving: HashMap::new(),
@@ -375,8 +378,13 @@
         // would lose another 4 s, and its lease before long.
         let deaf_ms = (self.settings.deployment.workers.report_s * 1500.0) as u64 + PEER_BEAT_MS;
         let leader = self.election.leader_label(now.mono).map(str::to_string);
-        let deaf = leader.filter(|l| self.peers.is_deaf(l, deaf_ms, now.mono));
-        if deaf.is_some() && id < PEER_REQUESTS {
+        let settled = now.mono > self.election.known_since() + 2 * REPORT_DROP_MS;
+        let deaf = leader.filter(|l| settled && self.peers.is_deaf(l, deaf_ms, now.mono));
+        // Now and then one worker is sent there all the same, to find out whether it is reached again.
+        let probe = deaf.is_some() && now.mono >= self.next_probe;
+        if probe {
+            self.next_probe = now.mono + PROBE_MS;
+        } else if deaf.is_some() && id < PEER_REQUESTS {
             return self.forward(id, "POST", REPORT, body, deaf, mail);
         }
         self.send_elsewhere(id, mail);
