--- a/crates/control/tests/stories.rs
+++ b/crates/control/tests/stories.rs
@@ -4,6 +4,7 @@
 use vetchmount_control::Settings;
 use wire::records::*;
 use wire::users::{Phase, Shape};
+use wire::workers::{Cause, ReportAnswer, TaskPhase, TaskReport};
 
 const DEPLOYMENT: &str = r#"
 zones = ["a", "b"]
@@ -281,6 +282,127 @@
     clean(&w);
 }
 
+#[test]
+fn a_crash_between_the_record_and_the_start_loses_and_doubles_nothing() {
+    let mut w = world(3, 2, 0.0);
+    let (old, other) = (w.leader().expect("leader"), follower(&w));
+    for m in w.workers.values_mut() {
+        m.lose_answers = 1;
+    }
+    assert_eq!(w.submit(other, &array("run-26", 3), runs(5_000)), 201);
+    let recorded = |w: &mut World| {
+        let record: Option<ChunkRecord> = w.state.read(&chunk_key("run-26", 0));
+        record.is_some_and(|r| r.at.len() == 3)
+    };
+    assert!(w.until(2_000, recorded));
+    assert!(w.on_machines("run-26").is_empty(), "recorded, not started");
+    w.crash(old);
+    assert!(w.until(40_000, |w| w.phase(other, "run-26") == Some(Phase::Done)));
+    let started: usize = w.workers.values().map(|m| m.started.len()).sum();
+    assert_eq!(started, 3);
+    clean(&w);
+}
+
+#[test]
+fn a_late_report_proves_nothing() {
+    let mut w = world(1, 1, 0.0);
+    assert_eq!(w.submit(0, &array("run-27", 1), runs(8_000)), 201);
+    w.run(4_000);
+    let (machine, task, attempt) = w.on_machines("run-27")[0].clone();
+    let now = w.now;
+    let worker = w.workers.get_mut(&machine).expect("worker");
+    let mut old = worker.report(fakes::KIND, now);
+    old.seq = 1;
+    for (tasks, cause) in [(1, Cause::Done), (0, Cause::Error)] {
+        old.tasks = vec![
+            TaskReport {
+                task: task.clone(),
+                attempt,
+                phase: TaskPhase::Ended,
+                cause: Some(cause),
+                saved: None,
+            };
+            tasks
+        ];
+        let (status, body) = w.ask(0, "POST", "/v1/report", wire::encode(&old));
+        let answer: ReportAnswer = wire::decode(&body).expect("answer");
+        assert_eq!((status, answer.orders.len()), (200, 0));
+    }
+    w.run(1_000);
+    assert_ne!(w.phase(0, "run-27"), Some(Phase::Done));
+    assert_eq!(w.on_machines("run-27").len(), 1, "neither done nor lost");
+    assert!(done(&mut w, "run-27", 20_000));
+    assert_eq!(w.workers[&machine].started.len(), 1);
+    clean(&w);
+}
+
+#[test]
+fn a_gang_under_notice_stops_in_order_and_starts_anew() {
+    let mut w = world(1, 6, 0.0);
+    let b = Behaviour {
+        gang: 2,
+        save_ms: 1_000,
+        ..runs(20_000)
+    };
+    let mut job = gang("run-28", 2);
+    (job.checkpoint_s, job.save_s) = (5.0, 1.0);
+    assert_eq!(w.submit(0, &job, b), 201);
+    w.run(6_000);
+    let first = w.on_machines("run-28");
+    assert_eq!(first.len(), 2);
+    let until = w.now + 12_000;
+    let machine = w.workers.get_mut(&first[0].0).expect("worker");
+    machine.taken_at = Some(until);
+    let saving = |w: &World, place: &(String, String, u64)| {
+        let task = w
+            .workers
+            .get(&place.0)
+            .and_then(|m| m.tasks.get(&(place.1.clone(), place.2)));
+        task.is_some_and(|t| t.phase == TaskPhase::Saving)
+    };
+    let mut told = [None, None];
+    for _ in 0..600 {
+        w.run(10);
+        for i in 0..2 {
+            if told[i].is_none() && saving(&w, &first[i]) {
+                told[i] = Some(w.now);
+            }
+        }
+    }
+    let (Some(a), Some(b)) = (told[0], told[1]) else {
+        panic!("both were told to save: {told:?}");
+    };
+    assert!(a.abs_diff(b) < 8_000, "within gang_peer_s");
+    assert!(done(&mut w, "run-28", 90_000));
+    let attempts = w.workers.values().flat_map(|m| m.started.iter());
+    assert!(
+        attempts.clone().any(|(_, a)| *a > first[0].2),
+        "a new attempt"
+    );
+    clean(&w);
+}
+
+#[test]
+fn an_abort_that_races_with_completion_has_one_winner() {
+    let mut winners = Vec::new();
+    for offset in 0..12 {
+        let mut w = world(3, 1, 0.0);
+        assert_eq!(w.submit(0, &array("run-29", 1), runs(3_000)), 201);
+        w.run(3_000 + 250 * offset);
+        let told = w.abort(1, "run-29").expect("an answer");
+        winners.push(told);
+        for _ in 0..10 {
+            for i in 0..3 {
+                assert_eq!(w.phase(i, "run-29"), Some(told), "offset {offset}");
+            }
+            w.run(1_000);
+        }
+        clean(&w);
+    }
+    let won = |phase| winners.contains(&phase);
+    assert!(won(Phase::Aborted) && won(Phase::Done), "{winners:?}");
+}
+
 /// Found on an own day: every lease ran out while a leader that no worker reached made room for a peer.
 #[test]
 fn a_leader_that_workers_do_not_reach_gets_their_reports_through_its_peers() {
