--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -96,6 +96,8 @@
 pub const ROUND_BUDGET_MS: u64 = 20;
 /// Milliseconds between two rounds of decisions.
 pub const ROUND_EVERY_MS: u64 = 60;
+/// Times as long as a round took until the next one starts, if that is longer.
+pub const ROUND_REST: u64 = 4;
 /// Milliseconds the answer to a worker whose tasks have just ended waits for what comes next there: a round, and
 /// a transaction. Without it the freed place idles until the worker's next report.
 pub const SETTLE_MS: u64 = 500;
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -300,6 +300,7 @@
     /// One round of decisions.
     pub(super) fn plan(&mut self, mail: &mut Mail) {
         let now = mail.now;
+        let started = (self.stopwatch)();
         self.plan_due = false;
         let picture = self.picture(now);
         let policy = self.operator.policy();
@@ -349,6 +350,9 @@
                 }
             }
         }
+        // Users and workers are served between rounds, however long those take.
+        let spent = (self.stopwatch)().saturating_sub(started) / 1000;
+        self.next_round = now.mono + ROUND_EVERY_MS.max(spent * ROUND_REST);
     }
 
     fn place(&mut self, id: &str, tasks: &[(u32, usize)], pilot: bool, machines: &[String]) {
