--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -189,8 +189,9 @@
 pub const CONNECT_TIMEOUT_MS: u64 = 1_000;
 /// Share of the sockets allowed that callers may hold; the rest is for our own calls and peers.
 pub const SERVER_SOCKET_SHARE: f64 = 0.8;
-/// Milliseconds an idle connection of a caller is kept when sockets run short.
-pub const IDLE_CONN_MS: u64 = 10_000;
+/// Milliseconds an idle connection of a caller other than a worker is kept when sockets run short: users come
+/// back every few seconds and can connect anew, a worker that can't loses its lease.
+pub const IDLE_CONN_MS: u64 = 1_000;
 /// Milliseconds an idle connection of our own is kept for reuse.
 pub const IDLE_CLIENT_MS: u64 = 20_000;
 /// Bytes read from a socket at a time.
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -518,6 +518,10 @@
     fn mind_notices(&mut self, now: Now) {
         let mut stops = Vec::new();
         for m in self.machines.values() {
+            if m.returning() {
+                // It is silent or gone: there is nobody to tell, and the rest of a gang may still be completed.
+                continue;
+            }
             let left = match (m.notice_at, m.draining) {
                 (Some(at), _) => at.saturating_sub(now.mono) as f64 / 1000.0,
                 (None, Some(_)) => f64::MAX,
--- a/crates/control/tests/stories.rs
+++ b/crates/control/tests/stories.rs
@@ -382,6 +382,33 @@
     clean(&w);
 }
 
+#[test]
+fn a_gang_that_still_gathers_gets_a_lost_task_replaced_under_its_attempt() {
+    let mut w = world(1, 6, 0.0);
+    let b = Behaviour {
+        gang: 2,
+        fetch_ms: 9_000,
+        ..runs(5_000)
+    };
+    assert_eq!(w.submit(0, &gang("run-31", 2), b), 201);
+    w.run(4_000);
+    let first = w.on_machines("run-31");
+    assert_eq!(first.len(), 2);
+    w.workers.remove(&first[0].0);
+    assert!(done(&mut w, "run-31", 60_000));
+    let attempts: Vec<u64> = w
+        .workers
+        .values()
+        .flat_map(|m| m.started.iter().map(|(_, a)| *a))
+        .collect();
+    assert_eq!(
+        attempts,
+        vec![first[0].2; 2],
+        "the survivor and one replacement"
+    );
+    clean(&w);
+}
+
 #[test]
 fn an_abort_that_races_with_completion_has_one_winner() {
     let mut winners = Vec::new();
--- a/crates/vetchmount/src/servers.rs
+++ b/crates/vetchmount/src/servers.rs
@@ -13,6 +13,8 @@
     open: Option<(u64, bool)>,
     closing: bool,
     last_used: u64,
+    /// A worker's: kept when sockets run short.
+    worker: bool,
 }
 
 /// A whole request that arrived.
@@ -53,7 +55,7 @@
             let idle = self
                 .conns
                 .iter()
-                .filter(|(_, s)| s.open.is_none() && now > s.last_used + IDLE_CONN_MS)
+                .filter(|(_, s)| s.open.is_none() && !s.worker && now > s.last_used + IDLE_CONN_MS)
                 .min_by_key(|(_, s)| s.last_used)
                 .map(|(k, _)| *k);
             match idle {
@@ -67,6 +69,7 @@
             open: None,
             closing: false,
             last_used: now,
+            worker: false,
         };
         self.conns.insert(key, served);
     }
@@ -115,6 +118,7 @@
             Ok(None) => {}
             Ok(Some(request)) => {
                 self.next_request += 1;
+                s.worker |= request.target == "/v1/report";
                 s.open = Some((self.next_request, request.close));
                 self.by_request.insert(self.next_request, key);
                 arrived.push(Arrived {
