Index rounds, drop machine records, rent by fifties, look at held answers seldom

Machines need no record: workers' reports, the list and the rental request (kept until the list must show its machines) name them.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -92,12 +92,19 @@
 /// Milliseconds before a transaction that the state service calls invalid is tried again.
 pub const INVALID_RETRY_MS: u64 = 5_000;
 
-/// Milliseconds of real time one round of decisions may take; the next goes on where it stopped.
-pub const ROUND_BUDGET_MS: u64 = 20;
+/// Milliseconds of real time one round of decisions may take, its view included; the next goes on where it
+/// stopped. A worker waits 4 s for an answer and a load balancer 1 s, so a round may take a fraction of that.
+pub const ROUND_BUDGET_MS: u64 = 150;
+/// Milliseconds the decisions themselves may take in any case, should the view alone use up the budget.
+pub const ROUND_LEAST_MS: u64 = 40;
 /// Milliseconds between two rounds of decisions.
 pub const ROUND_EVERY_MS: u64 = 60;
 /// Times as long as a round took until the next one starts, if that is longer.
-pub const ROUND_REST: u64 = 4;
+pub const ROUND_REST: u64 = 2;
+/// Milliseconds between looks at whether held answers to workers may go, while nothing has been decided.
+pub const RELEASE_MS: u64 = 50;
+/// Milliseconds between two bookings of what machines cost.
+pub const ACCOUNT_MS: u64 = 5_000;
 /// Milliseconds the answer to a worker whose tasks have just ended waits for what comes next there: a round, and
 /// a transaction. Without it the freed place idles until the worker's next report.
 pub const SETTLE_MS: u64 = 500;
@@ -126,6 +133,12 @@
 /// bounded, so that it does not starve.
 pub const HOPELESS_S: f64 = 200.0;
 
+/// Part of the fleet (one in that many machines) that may be kept from filling up for gangs.
+pub const RESERVED_PART: usize = 3;
+/// Seconds a job waits without a single start until it goes ahead of the queues' weighted sharing, so that the
+/// largest jobs begin within minutes however much smaller work arrives.
+pub const AGED_S: f64 = 75.0;
+
 /// Seconds that room on a machine without the image counts as worse, when tasks are stopped for it.
 pub const FETCH_COST_S: f64 = 40.0;
 
@@ -140,12 +153,16 @@
 
 /// Seconds between two looks at the machine list.
 pub const CLOUD_LIST_S: f64 = 5.0;
+/// Machines on a page of the machine list (the protocol's limit).
+pub const LIST_MAX: usize = 500;
+/// Share of the cloud's call rate that the machine list may use.
+pub const CLOUD_LIST_SHARE: f64 = 0.2;
 /// Seconds between two looks at the machine types once they are known (spot prices move).
 pub const CLOUD_TYPES_S: f64 = 60.0;
 /// Milliseconds to wait for the cloud.
 pub const CLOUD_TIMEOUT_MS: u64 = 5_000;
-/// Machines asked for at a time where machines are to stand ready; what can't be had is not given.
-pub const STANDING_ASK: u32 = 8;
+/// Rental requests under way at a time.
+pub const RENTALS_OPEN: usize = 8;
 /// Factor of the shortest boot time: room that becomes free within that is waited for instead of rented.
 pub const RENT_HORIZON: f64 = 0.4;
 /// Machines per rental request (the protocol's limit).
--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -323,7 +323,8 @@
     /// Whether type, zone and kind are known yet.
     pub known: bool,
     pub addr: Option<String>,
-    pub record: Cell<MachineRecord>,
+    /// It is to be given back, or is on its way.
+    pub returning: bool,
     pub session: u64,
     pub seq: u64,
     /// The worker is known to have seen our term.
@@ -339,6 +340,8 @@
     pub listed: bool,
     pub failed: bool,
     pub missing_lists: u32,
+    /// Some task of it has been told to stop.
+    pub stops: bool,
     pub images: BTreeMap<String, (u64, f64)>,
     pub places: BTreeSet<(String, u32)>,
     pub strays: BTreeSet<(String, u32, u64)>,
@@ -361,7 +364,7 @@
             spot: false,
             known: false,
             addr: None,
-            record: Cell::new(None, 0),
+            returning: false,
             session: 0,
             seq: 0,
             token_seen: false,
@@ -374,6 +377,7 @@
             listed: false,
             failed: false,
             missing_lists: 0,
+            stops: false,
             images: BTreeMap::new(),
             places: BTreeSet::new(),
             strays: BTreeSet::new(),
@@ -398,9 +402,4 @@
     pub fn is_slow(&self) -> bool {
         self.pace.1 >= 2 && self.pace.0 / f64::from(self.pace.1) > constants::SLOW_FACTOR
     }
-
-    /// Whether it is being given back.
-    pub fn returning(&self) -> bool {
-        self.record.want.as_ref().is_some_and(|r| r.returning)
-    }
 }
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -23,7 +23,11 @@
 impl Leader {
     /// Books the time since the last look.
     fn account(&mut self, now: Now) {
-        let hours = now.mono.saturating_sub(self.spent.at).min(2_000) as f64 / 3_600_000.0;
+        if now.mono < self.next_account {
+            return;
+        }
+        self.next_account = now.mono + ACCOUNT_MS;
+        let hours = now.mono.saturating_sub(self.spent.at).min(2 * ACCOUNT_MS) as f64 / 3_600_000.0;
         self.spent.at = now.mono;
         let types = self.types.want.iter().flatten();
         let types: HashMap<&str, &MachineType> = types.map(|t| (t.name.as_str(), t)).collect();
@@ -71,7 +75,11 @@
             self.ask_cloud(CloudOp::Types, CloudAsk::Types, mail);
         }
         if now.mono >= self.next_list && self.list_busy.is_none() {
-            self.next_list = now.mono + (CLOUD_LIST_S * 1000.0) as u64;
+            // Pages are counted by the machines known, so that a large fleet's lists leave room for other calls.
+            let pages = 1.0 + (self.machines.len() / LIST_MAX) as f64;
+            let calls = self.settings.deployment.cloud.rps;
+            let every_s = CLOUD_LIST_S.max(pages / calls / CLOUD_LIST_SHARE);
+            self.next_list = now.mono + (every_s * 1000.0) as u64;
             self.list_busy = Some(now.mono);
             self.list_seen.clear();
             let op = CloudOp::List {
@@ -140,9 +148,18 @@
         {
             return;
         }
+        let mut on: Vec<Vec<&sched::RunningView>> = vec![Vec::new(); view.machines.len()];
+        for r in &view.running {
+            on[r.machine].push(r);
+        }
+        let mut rooms: Vec<(usize, Res)> = (0..view.machines.len())
+            .filter(|&o| view.machines[o].usable && (view.machines[o].spot || !on[o].is_empty()))
+            .filter(|&o| view.machines[o].free.gpus > 0.0 || view.machines[o].total.gpus <= 0.0)
+            .map(|o| (o, view.machines[o].free))
+            .collect();
         let candidate = (0..view.machines.len()).filter(|&m| {
             let machine = &view.machines[m];
-            let tasks: Vec<_> = view.running.iter().filter(|r| r.machine == m).collect();
+            let tasks = &on[m];
             let few = machine.free.gpus >= machine.total.gpus * 0.5
                 && machine.free.cpus >= machine.total.cpus * 0.4;
             let long = machine.busy_s >= CONSOLIDATE_LEFT_S;
@@ -150,20 +167,26 @@
                 let job = self.jobs.get(&picture.jobs[r.job]);
                 r.movable && job.is_some_and(|j| !j.is_gang() && j.spec.checkpoint_s > 0.0)
             });
-            let fit = || {
-                let mut rooms: Vec<Res> = (0..view.machines.len())
-                    .filter(|&o| o != m && view.machines[o].usable)
-                    .filter(|&o| {
-                        view.machines[o].spot || view.running.iter().any(|r| r.machine == o)
-                    })
-                    .map(|o| view.machines[o].free)
-                    .collect();
-                tasks.iter().all(|r| {
+            let mut fit = || {
+                let mut taken: Vec<(usize, Res)> = Vec::new();
+                let all = tasks.iter().all(|r| {
                     let job = &view.jobs[r.job];
-                    let room = rooms.iter_mut().find(|room| room.fits(&r.res));
+                    let room = rooms
+                        .iter_mut()
+                        .find(|(o, room)| *o != m && room.fits(&r.res));
                     let plain = job.spot && job.zone.is_none() && !job.one_zone;
-                    room.map(|room| room.sub(&r.res)).is_some() && plain && job.zone_cap.is_none()
-                })
+                    let found = room.map(|(o, room)| {
+                        room.sub(&r.res);
+                        taken.push((*o, r.res));
+                    });
+                    found.is_some() && plain && job.zone_cap.is_none()
+                });
+                for (o, res) in taken {
+                    if let Some((_, room)) = rooms.iter_mut().find(|(at, _)| *at == o) {
+                        room.add(&res);
+                    }
+                }
+                all
             };
             machine.usable && !machine.spot && !tasks.is_empty() && few && long && movable && fit()
         });
@@ -208,7 +231,7 @@
         };
         let mut returns: Vec<(String, &'static str)> = Vec::new();
         for (name, m) in &self.machines {
-            if m.returning() {
+            if m.returning {
                 continue;
             }
             let empty = m.places.is_empty() && m.strays.is_empty();
@@ -253,22 +276,14 @@
                 m.places.len()
             );
             m.draining.get_or_insert(why);
-            m.record.want = Some(MachineRecord {
-                kind: m.kind.clone(),
-                zone: m.zone.clone(),
-                spot: m.spot,
-                at: mail.now.unix,
-                returning: true,
-            });
-            self.mark(Dirty::Machine(name));
+            m.returning = true;
         }
         let mut names = Vec::new();
         for (name, m) in &mut self.machines {
-            let recorded = m.record.saved.as_ref().is_some_and(|r| r.returning);
             let due = m
                 .return_sent
                 .is_none_or(|at| now > at + 2 * CLOUD_TIMEOUT_MS);
-            if recorded && due && names.len() < RETURN_MAX && !self.gone.contains_key(name) {
+            if m.returning && due && names.len() < RETURN_MAX && !self.gone.contains_key(name) {
                 m.return_sent = Some(now);
                 names.push(name.clone());
             }
@@ -286,6 +301,9 @@
         let (Some(r), false) = (rental.record.saved.clone(), rental.sent) else {
             return;
         };
+        if rental.got_at.is_some() {
+            return;
+        }
         if rental.record.dirty() || mail.now.mono < rental.retry_at {
             return;
         }
@@ -301,6 +319,18 @@
     }
 
     fn resend_rentals(&mut self, mail: &mut Mail) {
+        // A record goes once the list certainly shows its machines: until then a next leader asks by its name.
+        let shown_ms = (self.settings.deployment.cloud.list_lag_s * 2_500.0) as u64 + 2_000;
+        let mut over = Vec::new();
+        for (name, r) in &mut self.rentals {
+            if r.got_at.is_some_and(|at| mail.now.mono > at + shown_ms) && r.record.want.is_some() {
+                r.record.want = None;
+                over.push(name.clone());
+            }
+        }
+        for name in over {
+            self.mark(Dirty::Rental(name));
+        }
         for name in self.rentals.keys().cloned().collect::<Vec<_>>() {
             self.send_rental(&name, mail);
         }
@@ -316,7 +346,7 @@
         if !self.listed_once || now.mono < self.next_rent {
             return;
         }
-        self.next_rent = now.mono + 2 * HOUSEKEEPING_MS;
+        self.next_rent = now.mono + HOUSEKEEPING_MS;
         let mut picture = self.picture(now);
         let mut offers = Vec::new();
         let mut keys: Vec<OfferKey> = Vec::new();
@@ -346,7 +376,7 @@
         }
         let mut coming = vec![0; offers.len()];
         for m in self.machines.values() {
-            if m.known && !m.synced && !m.failed && !m.returning() {
+            if m.known && !m.synced && !m.failed && !m.returning {
                 let key = (m.kind.clone(), m.zone.clone(), m.spot);
                 if let Some(i) = keys.iter().position(|k| *k == key) {
                     coming[i] += 1;
@@ -354,7 +384,7 @@
             }
         }
         let mut asked = vec![false; offers.len()];
-        for r in self.rentals.values() {
+        for r in self.rentals.values().filter(|r| r.got_at.is_none()) {
             if let Some(want) = r.record.want.as_ref().or(r.record.saved.as_ref()) {
                 let key = (want.kind.clone(), want.zone.clone(), want.spot);
                 if let Some(i) = keys.iter().position(|k| *k == key) {
@@ -369,16 +399,24 @@
             thrifty: self.settings.thrifty(),
             horizon_s: types.iter().map(|t| t.boot_s).fold(f64::MAX, f64::min) * RENT_HORIZON,
         };
-        let most = (self.settings.deployment.state.txn_ops as u32).clamp(1, RENT_MAX);
-        for wish in plan_fleet(&picture.view, &fleet) {
+        let mut under_way = self.rentals.values().filter(|r| r.got_at.is_none()).count();
+        let wishes = plan_fleet(&picture.view, &fleet);
+        // Of a large wish, one request at a time goes out for each offer until the first is answered in full.
+        let mut wishes: VecDeque<_> = wishes.into_iter().filter(|w| !asked[w.offer]).collect();
+        while let Some(mut wish) = wishes.pop_front() {
             let (kind, zone, spot) = keys[wish.offer].clone();
-            if asked[wish.offer] || self.rentals.len() >= 8 {
-                continue;
+            if under_way >= RENTALS_OPEN {
+                break;
             }
+            under_way += 1;
             self.next_request += 1;
             // The term makes the name unique among all leaders there ever were.
             let name = format!("t{}-{}", self.term, self.next_request);
-            let count = wish.count.min(most);
+            let count = wish.count.min(RENT_MAX);
+            wish.count -= count;
+            if wish.count > 0 && self.served.contains(&(kind.clone(), zone.clone(), spot)) {
+                wishes.push_back(wish);
+            }
             log::info!(
                 "event=rent request={name} kind={kind} zone={zone} spot={spot} count={count}"
             );
@@ -394,6 +432,7 @@
                 sent: false,
                 retry_at: 0,
                 since: now.mono,
+                got_at: None,
             };
             self.rentals.insert(name.clone(), rental);
             self.mark(Dirty::Rental(name));
@@ -462,11 +501,7 @@
         self.free_machine(name, "its machine was given back", now);
         self.gone.insert(name.to_string(), now.mono);
         log::info!("event=machine_gone machine={name}");
-        if let Some(m) = self.machines.get_mut(name) {
-            m.record.want = None;
-            m.synced = false;
-            self.mark(Dirty::Machine(name.to_string()));
-        }
+        self.machines.remove(name);
         self.plan_due = true;
     }
 
@@ -485,31 +520,23 @@
                     rent.count,
                     now.mono - rental.since
                 );
-                rental.record.want = None;
+                rental.got_at = Some(now.mono);
                 if machines.len() < rent.count as usize {
                     self.no_capacity(key, now);
                 } else {
                     self.refused.remove(&key);
+                    self.served.insert(key);
                 }
                 for machine in machines {
+                    if self.gone.contains_key(&machine) {
+                        continue;
+                    }
                     let m = self
                         .machines
-                        .entry(machine.clone())
+                        .entry(machine)
                         .or_insert_with(|| Machine::new(now.mono));
                     m.describe(&rent.kind, &rent.zone, rent.spot);
-                    if m.record.want.is_none() && !self.gone.contains_key(&machine) {
-                        m.record.want = Some(MachineRecord {
-                            kind: rent.kind.clone(),
-                            zone: rent.zone.clone(),
-                            spot: rent.spot,
-                            at: now.unix,
-                            returning: false,
-                        });
-                        self.mark(Dirty::Machine(machine));
-                    }
                 }
-                // Marked last: the machines are recorded before the request is forgotten.
-                self.mark(Dirty::Rental(name.to_string()));
             }
             CloudReply::NoCapacity | CloudReply::Invalid => {
                 rental.record.want = None;
@@ -521,6 +548,7 @@
     }
 
     fn no_capacity(&mut self, key: OfferKey, now: Now) {
+        self.served.remove(&key);
         let last = self.refused.get(&key).map_or(0, |(_, pause)| *pause);
         let pause = (last * 2).clamp(NO_CAPACITY_MS, NO_CAPACITY_MAX_MS);
         log::info!(
@@ -561,8 +589,11 @@
             return;
         }
         self.list_asked = asked;
+        // A machine that was named by the cloud but is not listed when it must be has gone again.
+        let shown_ms = (self.settings.deployment.cloud.list_lag_s * 2_000.0) as u64 + 1_000;
         for (name, m) in &mut self.machines {
-            if m.listed && !self.list_seen.contains(name) {
+            let due = m.listed || asked > m.first_known + shown_ms;
+            if due && !self.list_seen.contains(name) {
                 m.missing_lists += 1;
             }
         }
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -49,7 +49,6 @@
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Dirty {
     Job(String),
-    Machine(String),
     Rental(String),
     Types,
     Orphan(String),
@@ -73,6 +72,8 @@
     sent: bool,
     retry_at: u64,
     since: u64,
+    /// When the cloud named its machines; the record outlives that until the list certainly shows them.
+    got_at: Option<u64>,
 }
 
 /// Type, zone and kind of a machine.
@@ -113,6 +114,8 @@
     // Fleet.
     next_request: u64,
     refused: HashMap<OfferKey, (u64, u64)>,
+    /// Offers whose last request was filled in full: several may be asked for at once.
+    served: BTreeSet<OfferKey>,
     next_list: u64,
     next_types: u64,
     list_busy: Option<u64>,
@@ -126,6 +129,11 @@
     next_summary: u64,
     spent: fleet::Spent,
     next_consolidation: u64,
+    next_account: u64,
+    /// Jobs that a round cut short had found no room for: the next one goes on behind them.
+    passed: BTreeSet<String>,
+    /// Something happened that a held answer may have waited for.
+    pub settled: bool,
 }
 
 impl Leader {
@@ -171,6 +179,7 @@
             next_housekeeping: 0,
             next_request: 0,
             refused: HashMap::new(),
+            served: BTreeSet::new(),
             next_list: 0,
             next_types: 0,
             list_busy: None,
@@ -183,6 +192,9 @@
             next_summary: 0,
             spent: fleet::Spent::default(),
             next_consolidation: 0,
+            next_account: 0,
+            passed: BTreeSet::new(),
+            settled: false,
         }
     }
 
@@ -281,8 +293,7 @@
         }
         let next = match prefix {
             JOBS => Some(CHUNKS),
-            CHUNKS => Some(MACHINES),
-            MACHINES => Some(RENTALS),
+            CHUNKS => Some(RENTALS),
             RENTALS => Some(TYPES),
             _ => None,
         };
@@ -319,20 +330,13 @@
                     }
                 }
             }),
-            MACHINES => value.deserialized::<MachineRecord>().map(|r| {
-                let m = self
-                    .machines
-                    .entry(name)
-                    .or_insert_with(|| Machine::new(now));
-                m.describe(&r.kind, &r.zone, r.spot);
-                m.record = Cell::new(Some(r), version);
-            }),
             RENTALS => value.deserialized::<RentalRecord>().map(|r| {
                 let rental = Rental {
                     record: Cell::new(Some(r), version),
                     sent: false,
                     retry_at: 0,
                     since: now,
+                    got_at: None,
                 };
                 self.rentals.insert(name, rental);
             }),
@@ -520,6 +524,10 @@
                     grace_s: 0.0,
                     why: "aborted",
                 });
+                let machine = place.machine.clone();
+                if let Some(m) = self.machines.get_mut(&machine) {
+                    m.stops = true;
+                }
             }
         }
     }
@@ -545,6 +553,7 @@
             m.places.remove(&(id.to_string(), task));
             if m.places.is_empty() {
                 m.idle_since = now.mono;
+                m.stops = false;
             }
         }
         self.plan_due = true;
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -88,7 +88,7 @@
             && m.draining.is_none()
             && m.notice_at.is_none()
             && !m.failed
-            && !m.returning()
+            && !m.returning
             && m.failed_jobs.len() < FAULTY_JOBS
             && m.last_report.is_some_and(|at| now <= at + silent_ms)
     }
@@ -252,6 +252,10 @@
                     .iter()
                     .filter_map(|m| index.get(m.as_str()).copied())
                     .collect(),
+                aged: job.first_run.is_none()
+                    && job.placed == 0
+                    && job.done == 0
+                    && now.unix.saturating_sub(job.at) as f64 > AGED_S * 1000.0,
                 avoid: if job.fail_machines.len() > FAULTY_JOBS {
                     Vec::new()
                 } else {
@@ -305,22 +309,57 @@
         let picture = self.picture(now);
         let policy = self.operator.policy();
         let stopwatch = self.stopwatch;
-        let until = stopwatch() + ROUND_BUDGET_MS * 1000;
-        let (decisions, finished) =
-            Round::new(&policy, picture.view.clone()).run(|| stopwatch() < until);
-        if !finished {
-            log::info!("event=round_cut decisions={}", decisions.len());
+        let Picture {
+            view,
+            jobs: names,
+            machines,
+            ..
+        } = picture;
+        let about: Vec<(usize, bool)> = view.jobs.iter().map(|j| (j.queue, j.sampling)).collect();
+        let (waiting, running) = (
+            view.jobs.iter().filter(|j| !j.waiting.is_empty()).count(),
+            view.running.len(),
+        );
+        let mut round = Round::new(&policy, view);
+        let passed = std::mem::take(&mut self.passed);
+        round.skip((0..names.len()).filter(|&j| passed.contains(&names[j])));
+        let viewed = stopwatch();
+        // The whole round is held to the budget; the decisions get their least share even so.
+        let until = (started + ROUND_BUDGET_MS * 1000).max(viewed + ROUND_LEAST_MS * 1000);
+        let sched::Outcome {
+            decisions,
+            finished,
+            blocked,
+        } = round.run(|| stopwatch() < until);
+        let decided = stopwatch();
+        if !finished || !passed.is_empty() {
             self.plan_due = true;
         }
+        if !finished {
+            self.passed = blocked.into_iter().map(|j| names[j].clone()).collect();
+        }
+        if !finished || decided - started > ROUND_LEAST_MS * 1000 {
+            log::info!(
+                "event=round finished={finished} view_ms={} decide_ms={} decisions={} jobs={} waiting={waiting} \
+                 machines={} running={running}",
+                (viewed - started) / 1000,
+                (decided - viewed) / 1000,
+                decisions.len(),
+                names.len(),
+                machines.len()
+            );
+        }
         for job in self.jobs.values_mut() {
             job.kept.clear();
         }
         for decision in decisions {
             match decision {
-                Decision::Keep { job, machines } => {
-                    if let Some(job) = self.jobs.get_mut(&picture.jobs[job]) {
-                        let names = machines.iter().map(|m| picture.machines[*m].clone());
-                        job.kept = names.collect();
+                Decision::Keep {
+                    job,
+                    machines: kept,
+                } => {
+                    if let Some(job) = self.jobs.get_mut(&names[job]) {
+                        job.kept = kept.iter().map(|m| machines[*m].clone()).collect();
                     }
                 }
                 Decision::Place {
@@ -329,22 +368,20 @@
                     pilots,
                     entitled,
                 } => {
-                    let id = &picture.jobs[job];
-                    let view = &picture.view.jobs[job];
+                    let id = &names[job];
+                    let (queue, sampling) = about[job];
                     log::info!(
                         "event=place job={id} tasks={} first={:?} pilot={pilots} entitled={entitled} \
-                         queue={} sampling={}",
+                         queue={queue} sampling={sampling}",
                         tasks.len(),
-                        tasks.first().map(|(t, m)| (*t, &picture.machines[*m])),
-                        view.queue,
-                        view.sampling
+                        tasks.first().map(|(t, m)| (*t, &machines[*m]))
                     );
-                    self.place(id, &tasks, pilots, &picture.machines);
+                    self.place(id, &tasks, pilots, &machines);
                 }
                 Decision::Stop { job, task, by } => {
-                    let id = picture.jobs[job].clone();
+                    let id = names[job].clone();
                     let grace = self.jobs.get(&id).map_or(0.0, |j| j.spec.save_s + 1.0);
-                    log::info!("event=preempt task={id}/{task} by={}", picture.jobs[by]);
+                    log::info!("event=preempt task={id}/{task} by={}", names[by]);
                     self.stop_task(&id, task, grace, super::reports::PREEMPTED, now);
                     self.next_housekeeping = now.mono;
                 }
@@ -352,7 +389,8 @@
         }
         // Users and workers are served between rounds, however long those take.
         let spent = (self.stopwatch)().saturating_sub(started) / 1000;
-        self.next_round = now.mono + ROUND_EVERY_MS.max(spent * ROUND_REST);
+        self.next_round = now.mono + spent + ROUND_EVERY_MS.max(spent * ROUND_REST);
+        self.settled = true;
     }
 
     fn place(&mut self, id: &str, tasks: &[(u32, usize)], pilot: bool, machines: &[String]) {
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -380,7 +380,7 @@
             return orders;
         };
         let (session, seq) = (m.session, m.seq);
-        let (draining, returning) = (m.draining.is_some(), m.returning());
+        let (draining, returning) = (m.draining.is_some(), m.returning);
         for t in listed {
             let (Some((id, task)), true) = (split_task(&t.task), orders.len() < ORDERS_PER_ANSWER)
             else {
@@ -461,6 +461,10 @@
             "event=stop task={id}/{task} machine={} grace_s={grace_s} why={why:?}",
             place.machine
         );
+        let machine = place.machine.clone();
+        if let Some(m) = self.machines.get_mut(&machine) {
+            m.stops = true;
+        }
         self.plan_due = true;
     }
 
@@ -469,11 +473,11 @@
         let now = mail.now;
         let w = &self.settings.deployment.workers;
         let lapse_ms = (w.lease_s * 1000.0 * DRIFT) as u64 + LEASE_MARGIN_MS;
-        let names: Vec<String> = self.machines.keys().cloned().collect();
-        for name in &names {
-            let Some(m) = self.machines.get(name) else {
+        let mut free: Vec<(String, &'static str)> = Vec::new();
+        for (name, m) in &self.machines {
+            if m.places.is_empty() && m.strays.is_empty() {
                 continue;
-            };
+            }
             // Its worker had seen our term, so nobody else's answers counted since; ours ended long enough
             // ago for the lease to have run out, and with it every task is gone.
             let lapsed = m.token_seen && m.last_answer.is_some_and(|at| now.mono > at + lapse_ms);
@@ -483,9 +487,12 @@
                 _ => None,
             };
             if let Some(why) = why {
-                self.free_machine(name, why, now);
+                free.push((name.clone(), why));
             }
         }
+        for (name, why) in free {
+            self.free_machine(&name, why, now);
+        }
         self.mind_notices(now);
         self.mind_gangs(now);
         if active {
@@ -518,7 +525,7 @@
     fn mind_notices(&mut self, now: Now) {
         let mut stops = Vec::new();
         for m in self.machines.values() {
-            if m.returning() {
+            if m.returning {
                 // It is silent or gone: there is nobody to tell, and the rest of a gang may still be completed.
                 continue;
             }
@@ -574,11 +581,12 @@
         let now = mail.now.mono;
         let report_ms = (self.settings.deployment.workers.report_s * 1250.0) as u64;
         let mut calls = Vec::new();
-        for (name, m) in &self.machines {
+        for (name, m) in self.machines.iter_mut().filter(|(_, m)| m.stops) {
             let (Some(addr), true) = (&m.addr, now > m.direct_at + KILL_REPEAT_MS) else {
                 continue;
             };
             let mut orders = Vec::new();
+            m.stops = false;
             for (id, task) in &m.places {
                 let Some(job) = self.jobs.get(id) else {
                     continue;
@@ -586,6 +594,7 @@
                 let Some((p, s)) = job.place(*task).and_then(|p| p.stop.map(|s| (p, s))) else {
                     continue;
                 };
+                m.stops = true;
                 let fresh = now < s.since + KILL_REPEAT_MS;
                 let unheard = m.last_report.is_none_or(|at| now > at + report_ms);
                 let gang = job.is_gang() && job.tasks() > 1 && fresh;
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -11,7 +11,6 @@
     Chunks(String, Vec<(u32, u64)>),
     /// A job filed away.
     Filed(String, Final),
-    Machine(String, Option<MachineRecord>),
     Rental(String, Option<RentalRecord>),
     Types(Vec<MachineType>),
     Orphan(String),
@@ -21,7 +20,6 @@
     fn what(&self) -> Dirty {
         match self {
             Part::Chunks(id, _) | Part::Filed(id, _) => Dirty::Job(id.clone()),
-            Part::Machine(name, _) => Dirty::Machine(name.clone()),
             Part::Rental(name, _) => Dirty::Rental(name.clone()),
             Part::Types(_) => Dirty::Types,
             Part::Orphan(key) => Dirty::Orphan(key.clone()),
@@ -71,7 +69,6 @@
     fn is_busy(&self, what: &Dirty) -> bool {
         match what {
             Dirty::Job(id) => self.jobs.get(id).is_some_and(|j| j.inflight),
-            Dirty::Machine(name) => self.machines.get(name).is_some_and(|m| m.record.inflight),
             Dirty::Rental(name) => self.rentals.get(name).is_some_and(|r| r.record.inflight),
             Dirty::Types => self.types.inflight,
             Dirty::Orphan(_) => false,
@@ -85,11 +82,6 @@
                     j.inflight = busy;
                 }
             }
-            Dirty::Machine(name) => {
-                if let Some(m) = self.machines.get_mut(name) {
-                    m.record.inflight = busy;
-                }
-            }
             Dirty::Rental(name) => {
                 if let Some(r) = self.rentals.get_mut(name) {
                     r.record.inflight = busy;
@@ -104,12 +96,6 @@
     fn piece(&self, what: &Dirty, room: usize) -> Option<(Part, Piece)> {
         match what {
             Dirty::Job(id) => self.job_piece(id, room),
-            Dirty::Machine(name) => {
-                let cell = &self.machines.get(name)?.record;
-                let part = Part::Machine(name.clone(), cell.want.clone());
-                cell.dirty()
-                    .then(|| (part, Piece::cell(machine_key(name), cell)))
-            }
             Dirty::Rental(name) => {
                 let cell = &self.rentals.get(name)?.record;
                 let part = Part::Rental(name.clone(), cell.want.clone());
@@ -248,6 +234,7 @@
         };
         match reply {
             StateReply::Committed { version } => {
+                self.settled = true;
                 if let Some(flight) = self.flights.remove(&number) {
                     for part in flight.parts {
                         self.part_saved(part, version, mail);
@@ -296,7 +283,6 @@
                         .chain(chunks.into_iter().flatten().map(|n| chunk_key(id, *n)))
                         .collect()
                 }
-                Part::Machine(name, _) => vec![machine_key(name)],
                 Part::Rental(name, _) => vec![rental_key(name)],
                 Part::Types(_) => vec![TYPES.into()],
                 Part::Orphan(key) => {
@@ -360,12 +346,6 @@
                     chunk.written = record;
                 }
             }
-            Dirty::Machine(name) => {
-                if let Some(m) = self.machines.get_mut(name) {
-                    m.record.version = version;
-                    m.record.saved = item.and_then(|i| i.value.deserialized().ok());
-                }
-            }
             Dirty::Rental(name) => {
                 if let Some(r) = self.rentals.get_mut(name) {
                     r.record.version = version;
@@ -410,19 +390,6 @@
                 }
             }
             Part::Filed(id, end) => self.filed(&id, end, mail),
-            Part::Machine(name, record) => {
-                if let Some(m) = self.machines.get_mut(&name) {
-                    m.record.version = if record.is_some() { version } else { 0 };
-                    m.record.saved = record;
-                    let (dirty, none) = (m.record.dirty(), m.record.saved.is_none());
-                    if dirty {
-                        self.mark(what);
-                    } else if none && self.gone.contains_key(&name) {
-                        self.machines.remove(&name);
-                    }
-                }
-                self.next_housekeeping = mail.now.mono;
-            }
             Part::Rental(name, record) => {
                 let Some(r) = self.rentals.get_mut(&name) else {
                     return;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -50,6 +50,8 @@
     next_probe: u64,
     /// Since when peers reach the state service and this leader does not.
     alone_since: Option<u64>,
+    /// When held answers are looked at again even though nothing was decided.
+    next_release: u64,
     forwards: HashMap<u64, Forwarded>,
     /// Requests that we handle for peers: (peer, its number) by our number.
     serving: HashMap<RequestId, (String, u64)>,
@@ -92,6 +94,7 @@
             silent_since: None,
             next_probe: now.mono + PROBE_MS,
             alone_since: None,
+            next_release: 0,
             forwards: HashMap::new(),
             serving: HashMap::new(),
             next_forward: 0,
@@ -121,13 +124,12 @@
         for wake in [self.state.next_wake(), self.cloud.next_wake()] {
             at = at.min(wake.unwrap_or(u64::MAX));
         }
-        if !self.gateway.is_idle()
-            || !self.forwards.is_empty()
-            || !self.held.is_empty()
-            || !self.limbo.is_empty()
-        {
+        if !self.gateway.is_idle() || !self.forwards.is_empty() || !self.limbo.is_empty() {
             at = at.min(self.last_now.mono + 200);
         }
+        if !self.held.is_empty() {
+            at = at.min(self.next_release);
+        }
         at.max(self.last_now.mono + 1)
     }
 
@@ -522,6 +524,16 @@
             return;
         }
         let now = mail.now;
+        // With hundreds of workers held, looking at all of them at every message would cost more than the
+        // messages themselves.
+        let settled = self
+            .leader
+            .as_mut()
+            .is_none_or(|l| std::mem::take(&mut l.settled));
+        if !settled && now.mono < self.next_release {
+            return;
+        }
+        self.next_release = now.mono + RELEASE_MS;
         let active = self.active(now.mono);
         let may_answer = self.may_answer(now.mono);
         let leader = &mut self.leader;
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -1,7 +1,7 @@
 //! How many machines of which type, zone and kind are wanted.
 
 use crate::{Res, View};
-use constants::STANDING_ASK;
+use constants::RENT_MAX;
 
 /// A type of machine in a zone, spot or not.
 #[derive(Debug, Clone)]
@@ -42,38 +42,89 @@
     pub count: u32,
 }
 
+/// Room of machines that are alike.
+#[derive(Clone, Copy)]
+struct Room {
+    kind: usize,
+    zone: usize,
+    spot: bool,
+    free: Res,
+    count: u32,
+}
+
+/// Adds rooms, to those that are alike where there are any.
+fn add_rooms(rooms: &mut Vec<Room>, room: Room) {
+    let same = |r: &&mut Room| {
+        (r.kind, r.zone, r.spot) == (room.kind, room.zone, room.spot) && r.free == room.free
+    };
+    match rooms.iter_mut().find(same) {
+        Some(r) => r.count += room.count,
+        None => rooms.push(room),
+    }
+}
+
 /// Machines that the waiting work needs beyond what is there and coming.
 ///
 /// Waiting tasks are packed into free and coming room; what is left over is packed into new machines, each task
 /// on the offer with the lowest price for the task. Where money does not count, every open offer is asked for
-/// more, up to what the cloud gives: capacity shows only in what it refuses.
+/// as much as one request may: capacity shows only in what the cloud refuses.
 pub fn plan_fleet(view: &View, fleet: &FleetView) -> Vec<RentWish> {
     let mut wishes = vec![0u32; fleet.offers.len()];
     if !fleet.thrifty {
         for (i, offer) in fleet.offers.iter().enumerate() {
-            wishes[i] = if offer.open { STANDING_ASK } else { 0 };
+            wishes[i] = if offer.open { RENT_MAX } else { 0 };
         }
         return to_list(wishes);
     }
+    let waiting = || view.jobs.iter().filter(|j| !j.waiting.is_empty());
+    let Some(least) = waiting().map(|j| j.task).reduce(|a, b| Res {
+        cpus: a.cpus.min(b.cpus),
+        gpus: a.gpus.min(b.gpus),
+        mem: a.mem.min(b.mem),
+    }) else {
+        return Vec::new();
+    };
     // Room that running tasks leave before a new machine could be up is as good as the new machine.
     let mut coming_free: Vec<Res> = view.machines.iter().map(|m| m.free).collect();
     for r in view.running.iter().filter(|r| r.left_s < fleet.horizon_s) {
         coming_free[r.machine].add(&r.res);
     }
-    let mut rooms: Vec<(usize, usize, bool, Res)> = view
-        .machines
-        .iter()
-        .zip(coming_free)
-        .filter(|(m, _)| m.usable)
-        .map(|(m, free)| (m.kind, m.zone, m.spot, free))
-        .collect();
-    for (offer, n) in fleet.offers.iter().zip(&fleet.coming) {
-        for _ in 0..*n {
-            rooms.push((offer.kind, offer.zone, offer.spot, offer.total));
+    // Full machines are of no interest, and machines that are alike count together: a large fleet comes down
+    // to a few rooms.
+    let mut rooms: Vec<Room> = Vec::new();
+    for (m, free) in view.machines.iter().zip(coming_free) {
+        if m.usable && free.fits(&least) {
+            let (kind, zone, spot) = (m.kind, m.zone, m.spot);
+            add_rooms(
+                &mut rooms,
+                Room {
+                    kind,
+                    zone,
+                    spot,
+                    free,
+                    count: 1,
+                },
+            );
+        }
+    }
+    for (offer, &count) in fleet.offers.iter().zip(&fleet.coming) {
+        if count > 0 {
+            add_rooms(
+                &mut rooms,
+                Room {
+                    kind: offer.kind,
+                    zone: offer.zone,
+                    spot: offer.spot,
+                    free: offer.total,
+                    count,
+                },
+            );
         }
     }
     let mut teams = view.teams.clone();
-    let mut order: Vec<usize> = (0..view.jobs.len()).collect();
+    let mut order: Vec<usize> = (0..view.jobs.len())
+        .filter(|&j| !view.jobs[j].waiting.is_empty())
+        .collect();
     order.sort_by_key(|&j| (!view.jobs[j].gang, view.jobs[j].order));
     for j in order {
         let job = &view.jobs[j];
@@ -83,50 +134,78 @@
             .one_zone
             .then(|| home_zone(job, &rooms, fleet))
             .flatten();
-        for _ in &job.waiting {
+        let mut left = job.waiting.len() as u32;
+        while left > 0 {
             if !teams[job.team].allows(&job.task) {
                 break;
             }
+            let cap = |zone: usize| {
+                let used = in_zone(&by_zone, zone);
+                job.zone_cap
+                    .map_or(u32::MAX, |cap| cap.saturating_sub(used))
+            };
             let suits = |kind: usize, zone: usize, spot: bool| {
                 (job.spot || !spot)
                     && job.zone.is_none_or(|z| z == zone)
                     && only.is_none_or(|z| z == zone)
-                    && job.zone_cap.is_none_or(|cap| in_zone(&by_zone, zone) < cap)
+                    && cap(zone) > 0
                     && job.kinds.as_ref().is_none_or(|k| k.contains(&kind))
             };
-            teams[job.team].used.add(&job.task);
-            let there = rooms
-                .iter_mut()
-                .filter(|(k, z, s, room)| suits(*k, *z, *s) && room.fits(&job.task))
-                .min_by(|a, b| {
-                    (a.3.gpus, !a.2)
-                        .partial_cmp(&(b.3.gpus, !b.2))
+            let there = (0..rooms.len())
+                .filter(|&i| {
+                    let r = &rooms[i];
+                    r.count > 0 && r.free.fits(&job.task) && suits(r.kind, r.zone, r.spot)
+                })
+                .min_by(|&a, &b| {
+                    (rooms[a].free.gpus, !rooms[a].spot)
+                        .partial_cmp(&(rooms[b].free.gpus, !rooms[b].spot))
                         .unwrap_or(std::cmp::Ordering::Equal)
                 });
-            if let Some((_, zone, _, room)) = there {
-                room.sub(&job.task);
-                by_zone.push((*zone, 1));
-                continue;
+            let room = match there {
+                Some(i) => {
+                    rooms[i].count -= 1;
+                    Room {
+                        count: 1,
+                        ..rooms[i]
+                    }
+                }
+                None => {
+                    let price =
+                        |o: &Offer| o.price / f64::from(o.total.holds(&job.task, 1000).max(1));
+                    let cheapest = (0..fleet.offers.len())
+                        .filter(|&i| {
+                            let o = &fleet.offers[i];
+                            o.open && suits(o.kind, o.zone, o.spot) && o.total.fits(&job.task)
+                        })
+                        .min_by(|&a, &b| {
+                            price(&fleet.offers[a]).total_cmp(&price(&fleet.offers[b]))
+                        });
+                    let Some(i) = cheapest else { break };
+                    wishes[i] += 1;
+                    let o = &fleet.offers[i];
+                    Room {
+                        kind: o.kind,
+                        zone: o.zone,
+                        spot: o.spot,
+                        free: o.total,
+                        count: 1,
+                    }
+                }
+            };
+            let mut n = 0;
+            let mut rest = room;
+            while n < left.min(cap(room.zone)) && rest.free.fits(&job.task) {
+                if n > 0 && !teams[job.team].allows(&job.task) {
+                    break;
+                }
+                rest.free.sub(&job.task);
+                teams[job.team].used.add(&job.task);
+                n += 1;
             }
-            let cheapest = fleet
-                .offers
-                .iter()
-                .enumerate()
-                .filter(|(_, o)| o.open && suits(o.kind, o.zone, o.spot) && o.total.fits(&job.task))
-                .map(|(i, o)| {
-                    (
-                        o.price / f64::from(o.total.holds(&job.task, 1000).max(1)),
-                        i,
-                    )
-                })
-                .min_by(|a, b| a.0.total_cmp(&b.0));
-            if let Some((_, i)) = cheapest {
-                wishes[i] += 1;
-                let o = &fleet.offers[i];
-                let mut room = o.total;
-                room.sub(&job.task);
-                by_zone.push((o.zone, 1));
-                rooms.push((o.kind, o.zone, o.spot, room));
+            by_zone.push((room.zone, n));
+            left -= n;
+            if rest.free.fits(&least) {
+                add_rooms(&mut rooms, rest);
             }
         }
     }
@@ -139,11 +218,7 @@
 }
 
 /// The zone for a job that must stay in one: where it is, else where most room is, else where most is offered.
-fn home_zone(
-    job: &crate::JobView,
-    rooms: &[(usize, usize, bool, Res)],
-    fleet: &FleetView,
-) -> Option<usize> {
+fn home_zone(job: &crate::JobView, rooms: &[Room], fleet: &FleetView) -> Option<usize> {
     if let Some((zone, _)) = job.zones_used.iter().find(|(_, n)| *n > 0) {
         return Some(*zone);
     }
@@ -152,20 +227,29 @@
             && job.zone.is_none_or(|z| z == *zone)
             && job.kinds.as_ref().is_none_or(|k| k.contains(kind))
     };
-    let open = fleet.offers.iter().filter(|o| o.open);
-    let offered = open.map(|o| (&o.kind, &o.zone, o.spot, &o.total, 0));
-    let there = rooms.iter().map(|(k, z, s, r)| (k, z, *s, r, 1_000));
-    let mut score: Vec<(usize, u32)> = Vec::new();
-    for (kind, zone, spot, room, weight) in there.chain(offered) {
-        let n = room.holds(&job.task, 1_000);
-        if n > 0 && allowed(kind, zone, spot) {
-            score.push((*zone, n * weight + 1));
+    let need = job.waiting.len() as u32;
+    let mut zones: Vec<(usize, u32, bool)> = Vec::new();
+    let mut note = |zone: usize, n: u32, offered: bool| match zones.iter_mut().find(|z| z.0 == zone)
+    {
+        Some(z) => (z.1, z.2) = (z.1.saturating_add(n), z.2 || offered),
+        None => zones.push((zone, n, offered)),
+    };
+    for r in rooms {
+        let n = r.free.holds(&job.task, need).saturating_mul(r.count);
+        if n > 0 && allowed(&r.kind, &r.zone, r.spot) {
+            note(r.zone, n, false);
+        }
+    }
+    for o in fleet.offers.iter().filter(|o| o.open) {
+        if o.total.fits(&job.task) && allowed(&o.kind, &o.zone, o.spot) {
+            note(o.zone, 0, true);
         }
     }
-    let best = score
+    // Room enough is best, else where more can be had, else where most is.
+    let best = zones
         .iter()
-        .max_by_key(|(z, _)| (in_zone(&score, *z), usize::MAX - z));
-    best.map(|(z, _)| *z)
+        .max_by_key(|(z, n, offered)| (*n >= need, *offered, *n, usize::MAX - z));
+    best.map(|(z, ..)| *z)
 }
 
 fn to_list(wishes: Vec<u32>) -> Vec<RentWish> {
@@ -226,6 +310,7 @@
             running: 0,
             avoid: vec![],
             kept: vec![],
+            aged: false,
         };
         let offer = |zone| Offer {
             kind: 0,
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use fleet::{plan_fleet, FleetView, Offer, RentWish};
 pub use ranges::RangeSet;
-pub use round::{Decision, JobView, MachineView, Round, RunningView, TeamView, View};
+pub use round::{Decision, JobView, MachineView, Outcome, Round, RunningView, TeamView, View};
 pub use sampling::{pilots_of, queue_of, weight_of, Policy};
 
 /// Amounts of a machine or of a task.
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -15,8 +15,6 @@
 pub const CHUNKS: &str = "p/";
 /// Prefix of finished jobs.
 pub const FINALS: &str = "f/";
-/// Prefix of machines.
-pub const MACHINES: &str = "m/";
 /// Prefix of rental requests.
 pub const RENTALS: &str = "r/";
 
@@ -35,11 +33,6 @@
     format!("{CHUNKS}{id}/{chunk}")
 }
 
-/// Key of a machine.
-pub fn machine_key(name: &str) -> String {
-    format!("{MACHINES}{name}")
-}
-
 /// Key of a rental request.
 pub fn rental_key(request: &str) -> String {
     format!("{RENTALS}{request}")
@@ -106,23 +99,8 @@
     pub timed: u32,
 }
 
-/// A rented machine.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MachineRecord {
-    /// Type.
-    pub kind: String,
-    /// Zone.
-    pub zone: String,
-    /// Whether it is a spot machine.
-    pub spot: bool,
-    /// Time of day of the rental, in milliseconds.
-    pub at: u64,
-    /// Whether it is being returned.
-    #[serde(default)]
-    pub returning: bool,
-}
-
-/// A rental request whose answer is not recorded yet.
+/// A rental request whose machines the cloud's list may not show yet. Asked for again under its name, it tells
+/// which they are; so machines need no records of their own, which a small state service could not take.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RentalRecord {
     /// Type.
