--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -17,6 +17,19 @@
     at: u64,
 }
 
+/// Machines that waiting work could use.
+struct Wanted {
+    kind: String,
+    zone: String,
+    spot: bool,
+}
+
+impl Wanted {
+    fn suits(&self, m: &Machine) -> bool {
+        self.kind == m.kind && self.zone == m.zone && self.spot == m.spot
+    }
+}
+
 /// Why a machine is drained whose tasks fit elsewhere.
 const CONSOLIDATED: &str = "consolidated";
 
@@ -206,6 +219,66 @@
         }
     }
 
+    /// What waits for machines, so that none is given back that the next round may need: the machines of a large
+    /// gang come up one by one, and the first would otherwise be gone before the last is there.
+    fn wanted(&self) -> Vec<Wanted> {
+        let teams = &self.settings.deployment.teams;
+        let mut used: HashMap<&str, Res> = HashMap::new();
+        for job in self.jobs.values() {
+            let all = job.res().times(f64::from(job.placed));
+            used.entry(&job.spec.team).or_default().add(&all);
+        }
+        let full = |job: &Job| {
+            let Some(team) = teams.iter().find(|t| t.name == job.spec.team) else {
+                return false;
+            };
+            let used = used
+                .get(job.spec.team.as_str())
+                .copied()
+                .unwrap_or_default();
+            let n = if job.is_gang() {
+                job.spec.tasks as f64
+            } else {
+                1.0
+            };
+            let over = |max: f64, used: f64, more: f64| max > 0.0 && used + more * n > max;
+            over(team.cpus_max, used.cpus, job.spec.cpus)
+                || over(team.gpus_max, used.gpus, job.spec.gpus)
+        };
+        let waits = |job: &&Job| {
+            !job.aborted
+                && u64::from(job.placed) + job.done < job.spec.tasks
+                && job.fails == 0
+                && !full(job)
+        };
+        let types = self.types.want.iter().flatten();
+        let jobs: Vec<&Job> = self.jobs.values().filter(waits).collect();
+        let mut wanted: Vec<Wanted> = Vec::new();
+        for t in types {
+            for zone in &t.zones {
+                for spot in [false, true] {
+                    let useful = jobs.iter().any(|j| {
+                        let s = &j.spec;
+                        (s.spot || !spot)
+                            && s.zone.as_ref().is_none_or(|z| z == zone)
+                            && s.types.as_ref().is_none_or(|k| k.contains(&t.name))
+                            && s.cpus <= t.cpus
+                            && s.gpus <= t.gpus
+                            && s.mem_gb <= t.mem_gb
+                    });
+                    if useful {
+                        wanted.push(Wanted {
+                            kind: t.name.clone(),
+                            zone: zone.clone(),
+                            spot,
+                        });
+                    }
+                }
+            }
+        }
+        wanted
+    }
+
     /// Decides which machines go back, and sends those whose return is recorded.
     fn give_back(&mut self, mail: &mut Mail) {
         let now = mail.now.mono;
@@ -217,6 +290,8 @@
             (self.operator.idle_return_s * 1000.0 * factor) as u64
         };
         let thrifty = self.settings.thrifty();
+        let wanted = self.wanted();
+        let in_use = |m: &Machine| wanted.iter().any(|w| w.suits(m));
         let up = self.machines.values().filter(|m| m.synced && !m.failed);
         let (mut all, mut silent) = (0, 0);
         for m in up {
@@ -256,7 +331,12 @@
                 Some(CONSOLIDATED)
             } else if empty && m.failed_jobs.len() >= FAULTY_JOBS {
                 Some("faulty")
-            } else if thrifty && empty && m.synced && now > m.idle_since + idle_ms(m.spot) {
+            } else if thrifty
+                && empty
+                && m.synced
+                && now > m.idle_since + idle_ms(m.spot)
+                && !in_use(m)
+            {
                 Some("idle")
             } else {
                 None
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -675,14 +675,14 @@
         let mut need = if j.gang { self.left(job) as u32 } else { 1 };
         // Zones: a one-zone gang must find all its room in one of them.
         let mut options: Vec<(f64, usize, Vec<usize>, u32)> = Vec::new();
-        for m in 0..self.view.machines.len() {
+        for (m, here) in by_machine.iter().enumerate() {
             if !self.allowed(job, m)
                 || !self.open_to(job, m)
                 || self.zone_room(job, self.view.machines[m].zone) == 0
             {
                 continue;
             }
-            let mut victims: Vec<usize> = by_machine[m]
+            let mut victims: Vec<usize> = here
                 .iter()
                 .copied()
                 .filter(|&r| self.view.running[r].movable && self.view.running[r].job != job)
@@ -803,8 +803,8 @@
                 return false;
             }
             alive.retain(|&j| !self.blocked[j] && self.left(j) > 0);
-            let (mut first, mut second): (Option<(Rank, usize)>, Option<(Rank, usize)>) =
-                (None, None);
+            let mut first: Option<(Rank, usize)> = None;
+            let mut second: Option<(Rank, usize)> = None;
             for &j in &alive {
                 let this = (self.rank(j), j);
                 if first.is_none_or(|f| this < f) {
