Prove many polls with one transaction; tell peers of versions and ends

A question about a job whose record's version is known waits up to 40 ms for others and is proven by a transaction of guards only; what fails is read. The leader tells versions and ends; a version is a hint and never an answer.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -11,7 +11,7 @@
 /// Bytes. Largest frame between controllers: a forwarded request with its envelope.
 pub const MAX_FRAME_BYTES: usize = MAX_BODY_BYTES + 4096;
 /// Version of the frames between controllers; a peer of another version is not listened to.
-pub const PEER_VERSION: u8 = 1;
+pub const PEER_VERSION: u8 = 2;
 
 /// Milliseconds. Life of the leader's lease: long enough for a starved process to renew it three times, short
 /// enough that a crashed leader is replaced within a few seconds.
@@ -65,6 +65,16 @@
 
 /// Milliseconds after which a user's request that is still undecided is answered 503; users wait 2 s to 5 s.
 pub const USER_DEADLINE_MS: u64 = 1_800;
+/// Milliseconds a question about a job waits for others, so that one transaction proves many answers.
+pub const PROOF_GATHER_MS: u64 = 40;
+/// Milliseconds between two such transactions of one node.
+pub const PROOF_EVERY_MS: u64 = 100;
+/// Milliseconds up to which a user's request that the state service's rate limit turned away is tried again.
+pub const USER_RETRY_MS: u64 = 900;
+/// Versions of open jobs' records kept in memory (some 40 bytes each).
+pub const VERSION_CACHE: usize = 8_000;
+/// Open jobs in one message between controllers: 30 bytes each stay below a frame.
+pub const NEWS_MAX: usize = 1_500;
 /// Seconds a refused user is told to wait.
 pub const RETRY_AFTER_S: u32 = 1;
 /// Requests of users in hand at a time; more are refused at once.
@@ -189,6 +199,8 @@
 /// Seconds a machine must still be busy for its emptying to pay: saving, starting and fetching again cost some.
 pub const CONSOLIDATE_LEFT_S: f64 = 30.0;
 
+/// Milliseconds between the leader's counts of open jobs to its peers.
+pub const COUNTS_MS: u64 = 1_000;
 /// Milliseconds between beats to each peer.
 pub const PEER_BEAT_MS: u64 = 500;
 /// Milliseconds after which a peer's last beat says nothing about now.
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -5,9 +5,10 @@
 use crate::settings::Team;
 use crate::state::{Priority, StateOp, StateReply};
 use constants::*;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use wire::cloud::MachineType;
-use wire::records::{final_key, job_key, Final, JobRecord};
+use wire::peers::JobNews;
+use wire::records::{final_key, job_key, Final, JobRecord, JOBS};
 use wire::state::{Guard, Txn, Write};
 use wire::users::*;
 
@@ -24,6 +25,8 @@
 
 #[derive(PartialEq)]
 enum Stage {
+    /// The record's version is known: it waits for a transaction that proves that it still holds.
+    Proving,
     /// A creating transaction is on its way.
     Creating,
     /// Looking at the open record.
@@ -45,6 +48,9 @@
 /// Tasks (done, running) of a job, for display.
 pub(crate) type Counts = HashMap<String, (u32, u32)>;
 
+/// An open job's record as last seen: its version, and whether that says it is cancelled.
+type Version = (u64, bool);
+
 pub(crate) struct Gateway {
     teams: Vec<Team>,
     types: Option<Vec<MachineType>>,
@@ -54,10 +60,19 @@
     /// Two generations, so that the cache stays bounded without keeping an order.
     old_finals: HashMap<String, Final>,
     pub counts: Counts,
+    /// Versions of open jobs' records, in two generations. Never an answer by themselves.
+    versions: HashMap<String, Version>,
+    old_versions: HashMap<String, Version>,
+    /// Tickets that wait for a proof, and the proof under way: its number, its keys and its tickets.
+    proving: VecDeque<u64>,
+    proof: Option<(u64, Vec<(String, Version)>, Vec<u64>)>,
+    next_proof: u64,
+    proofs: u64,
+    proof_guards: usize,
 }
 
 impl Gateway {
-    pub fn new(teams: Vec<Team>) -> Self {
+    pub fn new(teams: Vec<Team>, txn_ops: usize) -> Self {
         Gateway {
             teams,
             types: None,
@@ -66,6 +81,14 @@
             finals: HashMap::new(),
             old_finals: HashMap::new(),
             counts: Counts::new(),
+            versions: HashMap::new(),
+            old_versions: HashMap::new(),
+            proving: VecDeque::new(),
+            proof: None,
+            next_proof: 0,
+            proofs: 0,
+            // The protocol allows four times as many conditions as writes.
+            proof_guards: 4 * txn_ops,
         }
     }
 
@@ -77,8 +100,31 @@
         self.types.is_some()
     }
 
+    /// Notes which version of a job's record was last seen. An older one than known changes nothing.
+    pub fn remember_version(&mut self, id: &str, version: u64, aborted: bool) {
+        if self.version_of(id).is_some_and(|(v, _)| v >= version) || self.known_final(id).is_some()
+        {
+            return;
+        }
+        if self.versions.len() >= VERSION_CACHE / 2 {
+            self.old_versions = std::mem::take(&mut self.versions);
+        }
+        self.versions.insert(id.to_string(), (version, aborted));
+    }
+
+    fn version_of(&self, id: &str) -> Option<Version> {
+        let known = self.versions.get(id).or_else(|| self.old_versions.get(id));
+        known.copied()
+    }
+
+    fn forget_version(&mut self, id: &str) {
+        self.versions.remove(id);
+        self.old_versions.remove(id);
+    }
+
     pub fn remember_final(&mut self, id: String, end: Final) {
         self.counts.remove(&id);
+        self.forget_version(&id);
         if self.finals.len() >= FINAL_CACHE / 2 {
             self.old_finals = std::mem::take(&mut self.finals);
         }
@@ -139,7 +185,13 @@
         }
         self.next += 1;
         let create = matches!(&want, Want::Submit { refusal: None, .. });
-        let stage = if create { Stage::Creating } else { Stage::Open };
+        // Users ask every few seconds about every open job: a read each would use up the state service's rate.
+        let proves = matches!(&want, Want::Status) && self.version_of(&id).is_some();
+        let stage = match (create, proves) {
+            (true, _) => Stage::Creating,
+            (_, true) => Stage::Proving,
+            _ => Stage::Open,
+        };
         let since = mail.now.mono;
         let ticket = Ticket {
             request,
@@ -149,9 +201,148 @@
             since,
         };
         self.tickets.insert(self.next, ticket);
+        if proves {
+            self.proving.push_back(self.next);
+            return;
+        }
         self.send(self.next, mail);
     }
 
+    /// Sends one transaction without writes that proves the records of as many questions as it can hold.
+    fn prove(&mut self, mail: &mut Mail) {
+        let now = mail.now.mono;
+        if self.proof.is_some() || now < self.next_proof {
+            return;
+        }
+        let gathered = self.proving.len() >= self.proof_guards
+            || self
+                .proving
+                .front()
+                .and_then(|n| self.tickets.get(n))
+                .is_none_or(|t| now >= t.since + PROOF_GATHER_MS);
+        if !gathered {
+            return;
+        }
+        let mut keys: BTreeMap<String, Version> = BTreeMap::new();
+        let mut tickets = Vec::new();
+        let mut unknown = Vec::new();
+        while let Some(number) = self.proving.pop_front() {
+            let Some(id) = self.tickets.get(&number).map(|t| t.id.clone()) else {
+                continue;
+            };
+            let Some(version) = self.version_of(&id) else {
+                unknown.push(number);
+                continue;
+            };
+            if keys.len() >= self.proof_guards && !keys.contains_key(&id) {
+                self.proving.push_front(number);
+                break;
+            }
+            keys.insert(id, version);
+            tickets.push(number);
+        }
+        for number in unknown {
+            self.go(number, Stage::Open, mail);
+        }
+        if keys.is_empty() {
+            return;
+        }
+        let guard = |(id, (version, _)): (&String, &Version)| Guard::new(job_key(id), *version);
+        let guards = keys.iter().map(guard).collect();
+        let writes = Vec::new();
+        self.next_proof = now + PROOF_EVERY_MS;
+        self.proofs += 1;
+        let tag = StateTag::Proof(self.proofs);
+        let op = StateOp::Txn(Txn { guards, writes });
+        mail.state.push((Priority::User, op, tag));
+        self.proof = Some((self.proofs, keys.into_iter().collect(), tickets));
+    }
+
+    /// A proof came back: what held is answered, what did not is read.
+    pub fn on_proof(&mut self, number: u64, reply: StateReply, mail: &mut Mail) {
+        let Some((_, keys, tickets)) = self.proof.take_if(|p| p.0 == number) else {
+            return;
+        };
+        let now = mail.now.mono;
+        match reply {
+            StateReply::Committed { .. } => {
+                for number in tickets {
+                    let Some(t) = self.tickets.remove(&number) else {
+                        continue;
+                    };
+                    let held = keys.binary_search_by(|(id, _)| id.cmp(&t.id));
+                    let aborted = held.is_ok_and(|at| keys[at].1 .1);
+                    self.answer_open(t.request, &t.id, aborted, mail);
+                }
+            }
+            StateReply::Conflict { failed } => {
+                for id in failed.iter().filter_map(|k| k.strip_prefix(JOBS)) {
+                    let told = keys.binary_search_by(|(k, _)| k.as_str().cmp(id));
+                    // A newer version may have been learnt since.
+                    if told.is_ok_and(|at| self.version_of(id) == Some(keys[at].1)) {
+                        self.forget_version(id);
+                    }
+                }
+                // The others wait for the next one, which is sent at once: they were not proven by this.
+                for number in tickets.into_iter().rev() {
+                    self.proving.push_front(number);
+                }
+                self.next_proof = now;
+            }
+            StateReply::Refused => {
+                for number in tickets.into_iter().rev() {
+                    if self.may_wait(number, now) {
+                        self.proving.push_front(number);
+                    } else {
+                        self.refuse(number, 503, "the state service refuses", mail);
+                    }
+                }
+                self.next_proof = now + STATE_RETRY_MS;
+            }
+            _ => {
+                for number in tickets {
+                    self.refuse(number, 503, "the state service does not answer", mail);
+                }
+            }
+        }
+        self.prove(mail);
+    }
+
+    /// Whether a request that was turned away may be tried again before its user is told to come back.
+    fn may_wait(&self, number: u64, now: u64) -> bool {
+        let ticket = self.tickets.get(&number);
+        ticket.is_some_and(|t| now < t.since + USER_RETRY_MS)
+    }
+
+    fn answer_open(&self, request: RequestId, id: &str, aborted: bool, mail: &mut Mail) {
+        let counts = self.counts.get(id).copied().unwrap_or_default();
+        let (phase, counts) = match (aborted, counts.1 > 0) {
+            (true, _) => (Phase::Aborted, None),
+            (false, true) => (Phase::Running, Some(counts)),
+            (false, false) => (Phase::Queued, Some(counts)),
+        };
+        mail.respond(request, 200, status_body(id, phase, counts));
+    }
+
+    /// What the leader tells of open jobs.
+    pub fn hear(&mut self, jobs: &[JobNews]) {
+        self.counts.clear();
+        for j in jobs {
+            self.remember_version(&j.id, j.version, j.aborted);
+            if j.done + j.running > 0 {
+                self.counts.insert(j.id.clone(), (j.done, j.running));
+            }
+        }
+    }
+
+    /// When a waiting proof is to be sent.
+    pub fn next_wake(&self) -> u64 {
+        match self.proving.front().and_then(|n| self.tickets.get(n)) {
+            Some(t) if self.proof.is_none() => self.next_proof.max(t.since + PROOF_GATHER_MS),
+            _ => u64::MAX,
+        }
+    }
+
     fn read_submission(&self, body: &[u8]) -> Result<(Want, String), String> {
         let spec: Result<Submission, _> = wire::decode(body);
         let (refusal, id, spec) = match spec {
@@ -251,19 +442,27 @@
         };
         let late = mail.now.mono > ticket.since + USER_DEADLINE_MS;
         match (&ticket.stage, reply) {
-            (Stage::Creating, StateReply::Committed { .. }) => {
+            (Stage::Creating, StateReply::Committed { version }) => {
                 if let Some(t) = self.tickets.remove(&number) {
                     log::info!("event=job_accepted job={}", t.id);
+                    self.remember_version(&t.id, version, false);
                     mail.respond(t.request, 201, status_body(&t.id, Phase::Queued, None));
                 }
             }
-            (Stage::Aborting, StateReply::Committed { .. }) => {
+            (Stage::Aborting, StateReply::Committed { version }) => {
                 if let Some(t) = self.tickets.remove(&number) {
                     log::info!("event=job_aborted job={}", t.id);
+                    self.remember_version(&t.id, version, true);
                     mail.news.push(News::Aborted(t.id.clone()));
                     mail.respond(t.request, 200, status_body(&t.id, Phase::Aborted, None));
                 }
             }
+            // Certainly not executed; most often the rate limit that all nodes share.
+            (Stage::Creating | Stage::Open | Stage::Final, StateReply::Refused)
+                if self.may_wait(number, mail.now.mono) =>
+            {
+                self.send(number, mail);
+            }
             (_, StateReply::Refused) => {
                 self.refuse(number, 503, "the state service refuses", mail);
             }
@@ -315,17 +514,12 @@
         let Some(t) = self.tickets.remove(&number) else {
             return;
         };
+        self.remember_version(&t.id, version, record.aborted);
         if record.aborted {
             // Perhaps by a transaction of ours whose answer was lost, or of a node that crashed since.
             mail.news.push(News::Aborted(t.id.clone()));
         }
-        let counts = self.counts.get(&t.id).copied().unwrap_or_default();
-        let (phase, counts) = match (record.aborted, counts.1 > 0) {
-            (true, _) => (Phase::Aborted, None),
-            (false, true) => (Phase::Running, Some(counts)),
-            (false, false) => (Phase::Queued, Some(counts)),
-        };
-        mail.respond(t.request, 200, status_body(&t.id, phase, counts));
+        self.answer_open(t.request, &t.id, record.aborted, mail);
     }
 
     fn found_nothing(&mut self, number: u64, mail: &mut Mail) {
@@ -370,6 +564,7 @@
         for number in late {
             self.refuse(number, 503, "not decided in time", mail);
         }
+        self.prove(mail);
     }
 
     pub fn is_idle(&self) -> bool {
--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -88,6 +88,8 @@
     pub at: u64,
     pub version: u64,
     pub aborted: bool,
+    /// Whether the record of that version says so; a notice may have come ahead of it.
+    pub recorded_abort: bool,
     pub chunks: BTreeMap<u32, Chunk>,
     /// Tasks that are done or have a place.
     pub busy: RangeSet,
@@ -115,6 +117,7 @@
             at: record.at,
             version,
             aborted: record.aborted,
+            recorded_abort: record.aborted,
             chunks: BTreeMap::new(),
             busy: RangeSet::default(),
             done: 0,
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -474,6 +474,7 @@
             Some(job) if version <= job.version => return,
             Some(job) => {
                 job.version = version;
+                job.recorded_abort = record.aborted;
                 if record.aborted && !job.aborted {
                     job.aborted = true;
                     log::info!("event=abort_seen job={id} placed={}", job.placed);
@@ -566,14 +567,20 @@
         }
     }
 
-    /// Tasks done and running of each open job, for display.
-    pub fn counts(&self) -> impl Iterator<Item = (&String, (u32, u32))> {
+    /// What peers need to know of each open job.
+    pub fn news(&self) -> impl Iterator<Item = wire::peers::JobNews> + '_ {
         self.jobs.iter().map(|(id, job)| {
             let running = job
                 .places()
                 .filter(|(_, p)| p.phase == Some(TaskPhase::Running))
                 .count();
-            (id, (job.done as u32, running as u32))
+            wire::peers::JobNews {
+                id: id.clone(),
+                done: job.done as u32,
+                running: running as u32,
+                version: job.version,
+                aborted: job.recorded_abort,
+            }
         })
     }
 
--- a/crates/control/src/mail.rs
+++ b/crates/control/src/mail.rs
@@ -117,6 +117,8 @@
 pub(crate) enum StateTag {
     Election(crate::election::Step),
     User(u64),
+    /// Proof of many answers at once.
+    Proof(u64),
     Types,
     Leader(u64, crate::leader::Ask),
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -10,8 +10,8 @@
 use crate::state::{Priority, StateClient, StateOp, StateReply};
 use constants::*;
 use std::collections::{HashMap, VecDeque};
-use wire::peers::PeerMessage;
-use wire::records::TYPES;
+use wire::peers::{JobNews, PeerMessage};
+use wire::records::{Final, TYPES};
 use wire::workers::{Elsewhere, Report};
 
 /// A request that a peer is handling for us.
@@ -50,6 +50,9 @@
     next_probe: u64,
     /// Since when peers reach the state service and this leader does not.
     alone_since: Option<u64>,
+    /// Jobs filed away since the last beat, to be told to peers.
+    over: Vec<(String, bool)>,
+    next_counts: u64,
     /// When held answers are looked at again even though nothing was decided.
     next_release: u64,
     forwards: HashMap<u64, Forwarded>,
@@ -77,7 +80,7 @@
             state: StateClient::new(d.state.rps, d.state.write_rps),
             cloud: CloudClient::new(d.cloud.rps),
             election: Election::new(&settings.label, boot),
-            gateway: Gateway::new(d.teams.clone()),
+            gateway: Gateway::new(d.teams.clone(), d.state.txn_ops),
             leader: None,
             held: Vec::new(),
             limbo: Vec::new(),
@@ -94,6 +97,8 @@
             silent_since: None,
             next_probe: now.mono + PROBE_MS,
             alone_since: None,
+            over: Vec::new(),
+            next_counts: 0,
             next_release: 0,
             forwards: HashMap::new(),
             serving: HashMap::new(),
@@ -130,6 +135,7 @@
         if !self.held.is_empty() {
             at = at.min(self.next_release);
         }
+        at = at.min(self.gateway.next_wake());
         at.max(self.last_now.mono + 1)
     }
 
@@ -266,23 +272,24 @@
                 },
             });
         }
-        if let Some(leader) = self.leader.as_ref().filter(|l| l.is_ready()) {
-            let jobs: Vec<(String, u32, u32)> = leader
-                .counts()
-                .filter(|(_, (done, running))| done + running > 0)
-                .take(2000)
-                .map(|(id, (done, running))| (id.clone(), done, running))
-                .collect();
-            self.gateway.counts = jobs
-                .iter()
-                .map(|(id, d, r)| (id.clone(), (*d, *r)))
-                .collect();
+        let leader = self.leader.as_ref().filter(|l| l.is_ready());
+        if let Some(leader) = leader.filter(|_| now >= self.next_counts) {
+            self.next_counts = now + COUNTS_MS;
+            let jobs: Vec<JobNews> = leader.news().take(NEWS_MAX).collect();
+            self.gateway.hear(&jobs);
             let term = leader.term;
             mail.out.push(Output::Peer {
                 to: None,
                 message: PeerMessage::Counts { term, jobs },
             });
         }
+        if !self.over.is_empty() {
+            let jobs = std::mem::take(&mut self.over);
+            mail.out.push(Output::Peer {
+                to: None,
+                message: PeerMessage::Over { jobs },
+            });
+        }
     }
 
     fn on_request(
@@ -440,6 +447,7 @@
         match tag {
             StateTag::Election(step) => self.election.on_reply(step, reply, mail),
             StateTag::User(number) => self.gateway.on_reply(number, reply, mail),
+            StateTag::Proof(number) => self.gateway.on_proof(number, reply, mail),
             StateTag::Types => {
                 self.types_busy = false;
                 self.next_types = mail.now.mono + LEADER_POLL_MS;
@@ -491,7 +499,13 @@
             }
             PeerMessage::Counts { term, jobs } => {
                 if term >= self.election.highest_term() && self.leader.is_none() {
-                    self.gateway.counts = jobs.into_iter().map(|(id, d, r)| (id, (d, r))).collect();
+                    self.gateway.hear(&jobs);
+                }
+            }
+            PeerMessage::Over { jobs } => {
+                for (id, done) in jobs {
+                    let end = if done { Final::Done } else { Final::Aborted };
+                    self.gateway.remember_final(id, end);
                 }
             }
             PeerMessage::Forward {
@@ -649,7 +663,8 @@
                     message: PeerMessage::Aborted { number, job },
                 });
             }
-            News::JobOver(..) | News::Types(_) => {}
+            News::JobOver(job, end) => self.over.push((job, end == Final::Done)),
+            News::Types(_) => {}
         }
     }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -226,8 +226,10 @@
         let reply = read_reply(&op, result);
         match &reply {
             StateReply::Refused | StateReply::Unknown => {
-                // A watch that breaks says little: it may just have been open while the connection went.
-                if !matches!(op, StateOp::Watch { .. }) {
+                // A watch that breaks says little: it may just have been open while the connection went. And a
+                // rate limit that was hit is no outage: users need not be turned away for it.
+                let limited = matches!(result, Ok((429, _)));
+                if !matches!(op, StateOp::Watch { .. }) && !limited {
                     self.last_bad = now.mono;
                 }
                 self.paused_until = now.mono + STATE_RETRY_MS;
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -3,6 +3,21 @@
 use constants::{MAX_FRAME_BYTES, PEER_VERSION};
 use serde::{Deserialize, Serialize};
 
+/// What the leader tells of an open job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobNews {
+    /// Job.
+    pub id: String,
+    /// Tasks done.
+    pub done: u32,
+    /// Tasks running.
+    pub running: u32,
+    /// Version of its record.
+    pub version: u64,
+    /// Whether that version says it is cancelled.
+    pub aborted: bool,
+}
+
 /// A message between controllers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -37,12 +52,18 @@
         /// Job.
         job: String,
     },
-    /// Tasks (done, running) of open jobs, from the leader, for display.
+    /// Open jobs, from the leader: counts for display, and which version of the record to ask the state service
+    /// about.
     Counts {
         /// Term of the leader.
         term: u64,
-        /// Job, tasks done, tasks running.
-        jobs: Vec<(String, u32, u32)>,
+        /// Jobs.
+        jobs: Vec<JobNews>,
+    },
+    /// Jobs that have just been filed away for good: (job, whether done; else cancelled).
+    Over {
+        /// Jobs.
+        jobs: Vec<(String, bool)>,
     },
     /// A user's request for a node that reaches the state service.
     Forward {
