Gangs keep machines about to come up instead of stopping tasks for them

Machines on their way are in the view with the time they are expected; a gang that such machines and free ones satisfy keeps them.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -143,6 +143,11 @@
 /// bounded, so that it does not starve.
 pub const HOPELESS_S: f64 = 200.0;
 
+/// Seconds within which a machine must be expected up for a gang to wait for it rather than stop other tasks:
+/// saving and freeing room takes about as long.
+pub const COMING_S: f64 = 10.0;
+/// Factor of a type's boot time after which a machine that is not up is no longer counted on by gangs.
+pub const BOOT_OVERDUE: f64 = 1.5;
 /// Part of the fleet (one in that many machines) that may be kept from filling up for gangs.
 pub const RESERVED_PART: usize = 3;
 /// Seconds a job waits without a single start until it goes ahead of the queues' weighted sharing, so that the
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -142,6 +142,12 @@
                 slow: m.is_slow(),
                 images: m.images.keys().map(|i| images.number(i)).collect(),
                 busy_s: 0.0,
+                coming_s: {
+                    let age = now.mono.saturating_sub(m.first_known) as f64 / 1000.0;
+                    let coming = !m.synced && m.last_report.is_none() && !m.failed && !m.returning;
+                    (coming && m.places.is_empty() && age < t.boot_s * BOOT_OVERDUE)
+                        .then(|| (t.boot_s - age).max(0.0))
+                },
             });
         }
         let mut jobs = Vec::new();
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -6,7 +6,7 @@
 //! after the one reached.
 
 use crate::{weight_of, Policy, Res};
-use constants::{FETCH_COST_S, RESERVED_PART};
+use constants::{COMING_S, FETCH_COST_S, RESERVED_PART};
 
 /// A machine that tasks could be placed on.
 #[derive(Debug, Clone)]
@@ -35,6 +35,9 @@
     pub images: Vec<usize>,
     /// Seconds until its tasks are expected to be over.
     pub busy_s: f64,
+    /// Of a machine on its way: seconds until it is expected to be up. Nothing can be placed there yet, but a
+    /// gang may keep it.
+    pub coming_s: Option<f64>,
 }
 
 /// A team.
@@ -265,7 +268,7 @@
         let mut reserved = vec![None; machines];
         for (number, job) in view.jobs.iter().enumerate() {
             for &m in job.kept.iter().filter(|_| !job.waiting.is_empty()) {
-                if view.machines[m].usable {
+                if view.machines[m].usable || view.machines[m].coming_s.is_some() {
                     reserved[m] = Some(number);
                 }
             }
@@ -342,9 +345,18 @@
     }
 
     fn allowed(&self, job: usize, machine: usize) -> bool {
+        self.view.machines[machine].usable && self.suits(job, machine)
+    }
+
+    /// Whether it is allowed there now, or will be within moments.
+    fn allowed_soon(&self, job: usize, machine: usize) -> bool {
+        let m = &self.view.machines[machine];
+        (m.usable || m.coming_s.is_some_and(|s| s <= COMING_S)) && self.suits(job, machine)
+    }
+
+    fn suits(&self, job: usize, machine: usize) -> bool {
         let (j, m) = (&self.view.jobs[job], &self.view.machines[machine]);
-        m.usable
-            && m.slots > 0
+        m.slots > 0
             && (j.spot || !m.spot)
             && j.zone.is_none_or(|z| z == m.zone)
             && j.kinds.as_ref().is_none_or(|k| k.contains(&m.kind))
@@ -436,17 +448,24 @@
         &self,
         job: usize,
         room: impl Fn(&MachineView) -> Res,
-        take_reserved: bool,
+        soon: bool,
     ) -> Option<Vec<usize>> {
         let j = &self.view.jobs[job];
         let need = self.left(job) as u32;
         let mut spots: Vec<(f64, usize, u32)> = (0..self.view.machines.len())
             .filter(|&m| room(&self.view.machines[m]).fits(&j.task))
-            .filter(|&m| self.allowed(job, m) && (take_reserved || self.open_to(job, m)))
+            .filter(|&m| self.open_to(job, m))
+            .filter(|&m| self.allowed(job, m) || soon && self.allowed_soon(job, m))
             .map(|m| {
                 let view = &self.view.machines[m];
                 (
-                    self.misfit(job, m, false),
+                    // What is kept stays kept, and what is there goes before what is on its way.
+                    self.misfit(job, m, false) + view.coming_s.map_or(0.0, |s| 1_000.0 + s)
+                        - if self.reserved[m].is_some() {
+                            2_000.0
+                        } else {
+                            0.0
+                        },
                     m,
                     room(view).holds(&j.task, need.min(view.slots)),
                 )
@@ -557,7 +576,10 @@
         }
         let entitled = self.view.teams[j.team].entitles(&self.demand(job));
         if j.gang {
-            if let Some(chosen) = self.gang_fit(job, |m| m.soon, false) {
+            if let Some(chosen) = self.gang_fit(job, |m| m.soon, true) {
+                for r in self.reserved.iter_mut().filter(|r| **r == Some(job)) {
+                    *r = None;
+                }
                 for m in chosen {
                     self.reserved[m] = Some(job);
                 }
@@ -865,6 +887,7 @@
             slow: false,
             images: vec![0],
             busy_s: 0.0,
+            coming_s: None,
         }
     }
 
