Record what ended lazily; ring workers for starts that are ready

Ended tasks stay on their worker until recorded, so those records wait 15 s for a change that matters; the answer to a report that frees room waits for one round and its record; and a worker is told to forget an ended task, which makes it report.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -51,7 +51,7 @@
 /// Share of the state service's request rate one node may use at most; nodes share the limit.
 pub const STATE_RPS_SHARE: f64 = 0.6;
 /// Share of the state service's write rate that bookkeeping may use, the rest being for users.
-pub const STATE_WRITE_SHARE: f64 = 0.6;
+pub const STATE_WRITE_SHARE: f64 = 0.7;
 /// Share of the state service's write rate one node may spend on its users.
 pub const USER_WRITE_SHARE: f64 = 0.3;
 /// Records of a listing asked for at a time; each page has to be decoded in one go.
@@ -117,10 +117,18 @@
 pub const ACCOUNT_MS: u64 = 5_000;
 /// Milliseconds the answer to a worker whose tasks have just ended waits for what comes next there: a round, and
 /// a transaction. Without it the freed place idles until the worker's next report.
-pub const SETTLE_MS: u64 = 500;
+pub const SETTLE_MS: u64 = 1_000;
 /// Milliseconds the answer to a worker without tasks waits for one, well within the worker's patience of 4 s.
 /// Nothing can change on such a machine meanwhile, and a start reaches it at once.
-pub const IDLE_HOLD_MS: u64 = 2_000;
+pub const IDLE_HOLD_MS: u64 = 3_000;
+/// Ended tasks left on a machine's list, so that there is something to make it report with.
+pub const BELLS: usize = 2;
+/// Milliseconds between two calls that make a worker report; it reports at most every half second.
+pub const RING_REPEAT_MS: u64 = 1_000;
+/// Such calls a second: each costs a connection.
+pub const RINGS_PER_S: f64 = 25.0;
+/// Milliseconds a change of a job's record that nobody waits for may wait for one that somebody does.
+pub const LAZY_MS: u64 = 15_000;
 /// Milliseconds between steps of housekeeping (silent machines, fleet size).
 pub const HOUSEKEEPING_MS: u64 = 500;
 
@@ -227,7 +235,7 @@
 /// back every few seconds and can connect anew, a worker that can't loses its lease.
 pub const IDLE_CONN_MS: u64 = 1_000;
 /// Milliseconds an idle connection of our own is kept for reuse.
-pub const IDLE_CLIENT_MS: u64 = 20_000;
+pub const IDLE_CLIENT_MS: u64 = 6_000;
 /// Bytes read from a socket at a time.
 pub const READ_CHUNK: usize = 16 * 1024;
 /// Milliseconds a turn of the main loop sleeps at most.
--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -39,6 +39,8 @@
     pub running_since: Option<u64>,
     pub pilot: bool,
     pub stop: Option<Stop>,
+    /// When it was decided on, 0 if by an earlier leader.
+    pub at: u64,
 }
 
 /// A part of a job's tasks, kept in one record.
@@ -173,6 +175,13 @@
         self.chunks.get(&chunk_of(task)).is_none_or(|c| !c.dirty())
     }
 
+    /// Whether a task has a place that is recorded and whose start has not been sent.
+    pub fn is_startable(&self, task: u32) -> bool {
+        let chunk = self.chunks.get(&chunk_of(task));
+        let place = chunk.and_then(|c| Some((c, c.places.get(&task)?)));
+        place.is_some_and(|(c, p)| p.stage == Stage::Ready && p.seq <= c.saved && p.stop.is_none())
+    }
+
     pub fn load_chunk(&mut self, number: u32, record: ChunkRecord, version: u64) {
         let done = RangeSet::parse(&record.done).unwrap_or_default();
         for t in done.iter() {
@@ -192,6 +201,7 @@
                     running_since: None,
                     pilot: false,
                     stop: None,
+                    at: 0,
                 };
                 (*task, place)
             })
@@ -215,7 +225,7 @@
     }
 
     /// Gives a task a place. The caller has checked that it has none.
-    pub fn put(&mut self, task: u32, machine: &str, attempt: u64, pilot: bool) {
+    pub fn put(&mut self, task: u32, machine: &str, attempt: u64, pilot: bool, now: u64) {
         let chunk = self.chunks.entry(chunk_of(task)).or_default();
         chunk.seq += 1;
         chunk.hi = chunk.hi.max(attempt);
@@ -228,6 +238,7 @@
             running_since: None,
             pilot,
             stop: None,
+            at: now,
         };
         chunk.places.insert(task, place);
         self.placed += 1;
@@ -345,6 +356,12 @@
     pub missing_lists: u32,
     /// Some task of it has been told to stop.
     pub stops: bool,
+    /// A report of it waits for its answer.
+    pub held: bool,
+    /// Ended tasks that its last report listed.
+    pub ended: Vec<(String, u64)>,
+    /// When it was last made to report.
+    pub rung_at: u64,
     pub images: BTreeMap<String, (u64, f64)>,
     pub places: BTreeSet<(String, u32)>,
     pub strays: BTreeSet<(String, u32, u64)>,
@@ -381,6 +398,9 @@
             failed: false,
             missing_lists: 0,
             stops: false,
+            held: false,
+            ended: Vec::new(),
+            rung_at: 0,
             images: BTreeMap::new(),
             places: BTreeSet::new(),
             strays: BTreeSet::new(),
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -121,11 +121,18 @@
                 self.term, s.boot, s.idle, s.unused, s.starting, s.stopping, s.running
             );
             log::info!(
-                "event=summary machines={} up={up} jobs={} placed={placed} waiting={waiting} rentals={}",
+                "event=summary machines={} up={up} jobs={} placed={placed} waiting={waiting} rentals={} dirty={} \
+                 starts={} sent_ms={} seen_ms={} ran_ms={}",
                 self.machines.len(),
                 self.jobs.len(),
-                self.rentals.len()
+                self.rentals.len(),
+                self.dirty.len(),
+                self.lags.sent.n,
+                self.lags.sent,
+                self.lags.seen,
+                self.lags.ran
             );
+            self.lags = Lags::default();
         }
     }
 
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -76,6 +76,36 @@
     got_at: Option<u64>,
 }
 
+/// Mean and worst of a time, in milliseconds.
+#[derive(Debug, Clone, Copy, Default)]
+struct Lag {
+    sum: u64,
+    n: u64,
+    most: u64,
+}
+
+impl Lag {
+    fn add(&mut self, ms: u64) {
+        self.sum += ms;
+        self.n += 1;
+        self.most = self.most.max(ms);
+    }
+}
+
+impl std::fmt::Display for Lag {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}/{}", self.sum / self.n.max(1), self.most)
+    }
+}
+
+/// From the decision to place a task until it was sent, seen and running, since the last summary.
+#[derive(Debug, Clone, Copy, Default)]
+struct Lags {
+    sent: Lag,
+    seen: Lag,
+    ran: Lag,
+}
+
 /// Type, zone and kind of a machine.
 type OfferKey = (String, String, bool);
 
@@ -132,6 +162,15 @@
     next_account: u64,
     /// Jobs that a round cut short had found no room for: the next one goes on behind them.
     passed: BTreeSet<String>,
+    lags: Lags,
+    /// Number of rounds of decisions so far.
+    rounds: u64,
+    /// Records whose change may wait, with the time up to which.
+    lazy: BTreeMap<Dirty, u64>,
+    next_lazy: u64,
+    /// Machines for which starts have just been recorded.
+    to_ring: BTreeSet<String>,
+    ring_budget: Bucket,
     /// Something happened that a held answer may have waited for.
     pub settled: bool,
 }
@@ -194,6 +233,12 @@
             next_consolidation: 0,
             next_account: 0,
             passed: BTreeSet::new(),
+            lags: Lags::default(),
+            rounds: 0,
+            lazy: BTreeMap::new(),
+            next_lazy: 0,
+            to_ring: BTreeSet::new(),
+            ring_budget: Bucket::new(RINGS_PER_S, 2.0 * RINGS_PER_S),
             settled: false,
         }
     }
@@ -243,6 +288,9 @@
             self.plan(mail);
         }
         self.flush(mail);
+        if active && !self.to_ring.is_empty() {
+            self.ring(mail);
+        }
     }
 
     pub fn next_wake(&self) -> u64 {
@@ -253,6 +301,9 @@
                 self.load_retry_at
             };
         }
+        if !self.to_ring.is_empty() {
+            return 0;
+        }
         let mut at = self.next_housekeeping;
         if self.plan_due {
             at = at.min(self.next_round);
@@ -394,7 +445,7 @@
             .filter_map(|m| m.pending.take())
             .collect();
         for report in pending {
-            self.work_in(report, mail.now);
+            self.work_in(&report, mail.now);
         }
         self.plan_due = true;
         self.tick(false, mail);
@@ -558,7 +609,7 @@
             }
         }
         self.plan_due = true;
-        self.mark(Dirty::Job(id.to_string()));
+        self.mark_lazily(Dirty::Job(id.to_string()), now);
     }
 
     fn mark_if_final(&mut self, id: &str) {
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -312,6 +312,7 @@
         let now = mail.now;
         let started = (self.stopwatch)();
         self.plan_due = false;
+        self.rounds += 1;
         let picture = self.picture(now);
         let policy = self.operator.policy();
         let stopwatch = self.stopwatch;
@@ -382,7 +383,7 @@
                         tasks.len(),
                         tasks.first().map(|(t, m)| (*t, &machines[*m]))
                     );
-                    self.place(id, &tasks, pilots, &machines);
+                    self.place(id, &tasks, pilots, &machines, now.mono);
                 }
                 Decision::Stop { job, task, by } => {
                     let id = names[job].clone();
@@ -399,7 +400,14 @@
         self.settled = true;
     }
 
-    fn place(&mut self, id: &str, tasks: &[(u32, usize)], pilot: bool, machines: &[String]) {
+    fn place(
+        &mut self,
+        id: &str,
+        tasks: &[(u32, usize)],
+        pilot: bool,
+        machines: &[String],
+        now: u64,
+    ) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -412,7 +420,7 @@
             } else {
                 job.chunks.get(&chunk_of(task)).map_or(0, |c| c.hi) + 1
             };
-            job.put(task, &machines[machine], attempt, pilot);
+            job.put(task, &machines[machine], attempt, pilot, now);
             if let Some(m) = self.machines.get_mut(&machines[machine]) {
                 m.places.insert((id.to_string(), task));
             }
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -33,6 +33,8 @@
     machine: String,
     tasks: Vec<TaskReport>,
     seq: (u64, u64),
+    /// Number of the last round when room became free by this report: the next one may use it.
+    round: Option<u64>,
     /// Until when it may wait for records and a round.
     settle_until: u64,
     /// Until when it may wait for a task.
@@ -80,24 +82,37 @@
             m.pending = Some(report);
             return Heard::Answer(ReportAnswer { term, orders });
         }
-        let (name, listed) = (report.machine.clone(), report.tasks.clone());
-        self.work_in(report, now);
+        let name = report.machine.clone();
+        let before = self.machines.get(&name).map_or(0, |m| m.places.len());
+        self.work_in(&report, now);
         let report_ms = (self.settings.deployment.workers.report_s * 1000.0) as u64;
-        let idle = active && listed.is_empty();
+        let live = report.tasks.iter().any(|t| t.phase != TaskPhase::Ended);
         let hold_ms = IDLE_HOLD_MS.min(report_ms);
+        let Some(m) = self.machines.get_mut(&name) else {
+            return Heard::Answer(ReportAnswer { term, orders });
+        };
+        m.ended = report
+            .tasks
+            .iter()
+            .filter(|t| t.phase == TaskPhase::Ended)
+            .map(|t| (t.task.clone(), t.attempt))
+            .collect();
         let held = Held {
-            seq: self
-                .machines
-                .get(&name)
-                .map_or((0, 0), |m| (m.session, m.seq)),
-            machine: name,
-            tasks: listed,
+            seq: (m.session, m.seq),
+            round: (m.places.len() < before).then_some(self.rounds),
+            machine: name.clone(),
+            tasks: report.tasks,
             settle_until: now.mono + if active { SETTLE_MS } else { 0 },
-            idle_until: now.mono + if idle { hold_ms } else { 0 },
+            idle_until: now.mono + if active && !live { hold_ms } else { 0 },
         };
         match self.held_answer(&held, active, now) {
             Some(answer) => Heard::Answer(answer),
-            None => Heard::Hold(held),
+            None => {
+                if let Some(m) = self.machines.get_mut(&name) {
+                    m.held = true;
+                }
+                Heard::Hold(held)
+            }
         }
     }
 
@@ -112,23 +127,23 @@
             // The worker has given up on this report.
             return answer(Vec::new());
         }
-        let unsaved = |job: &str, task: u32| {
+        let coming = m.places.iter().any(|(job, task)| {
             let job = self.jobs.get(job);
-            job.is_some_and(|j| !j.is_saved(task) || j.final_due().is_some())
-        };
-        let ended = held.tasks.iter().any(|t| {
-            let name = split_task(&t.task).filter(|_| t.phase == TaskPhase::Ended);
-            name.is_some_and(|(job, task)| unsaved(job, task))
+            let place = job.and_then(|j| j.place(*task));
+            place.is_some_and(|p| p.stage == Stage::Ready)
+                && job.is_some_and(|j| !j.is_saved(*task))
         });
-        let coming = m.places.iter().any(|(job, task)| {
+        let undecided = held
+            .round
+            .is_some_and(|r| r == self.rounds && self.plan_due);
+        let ready = m.places.iter().any(|(job, task)| {
             let place = self.jobs.get(job).and_then(|j| j.place(*task));
-            place.is_some_and(|p| p.stage == Stage::Ready) && unsaved(job, *task)
+            place.is_some_and(|p| p.stage == Stage::Ready)
         });
-        let unsettled = ended || coming || self.plan_due;
         let idle = m.places.is_empty() && m.draining.is_none();
-        let wait = if unsettled {
+        let wait = if coming || undecided {
             held.settle_until.max(held.idle_until)
-        } else if idle {
+        } else if idle && !ready {
             held.idle_until
         } else {
             0
@@ -136,11 +151,14 @@
         if active && now.mono < wait {
             return None;
         }
-        answer(self.orders_for(&held.machine, &held.tasks, active))
+        if let Some(m) = self.machines.get_mut(&held.machine) {
+            m.held = false;
+        }
+        answer(self.orders_for(&held.machine, &held.tasks, active, now))
     }
 
     /// Takes over what a report with our term proves.
-    pub(super) fn work_in(&mut self, report: Report, now: Now) {
+    pub(super) fn work_in(&mut self, report: &Report, now: Now) {
         let name = report.machine.clone();
         let Some(m) = self.machines.get_mut(&name) else {
             return;
@@ -192,7 +210,7 @@
                     self.ended(id, *task, &name, cause, now);
                 }
                 Some(t) => self.seen(id, *task, t.phase, now),
-                None => self.absent(id, *task, &report, now),
+                None => self.absent(id, *task, report, now),
             }
         }
         self.find_strays(&name, &listed);
@@ -208,6 +226,10 @@
         };
         // Only a start that we have watched from its beginning can be timed.
         let timed = place.stage != Stage::Recorded;
+        let placed_at = place.at;
+        if matches!(place.stage, Stage::Sent { .. }) {
+            self.lags.seen.add(now.mono.saturating_sub(placed_at));
+        }
         place.stage = Stage::Seen;
         let new = place.phase != Some(phase);
         if new && log::log_enabled!(log::Level::Debug) {
@@ -223,9 +245,21 @@
         if runs && place.running_since.is_none() && timed {
             place.running_since = Some(now.mono);
         }
+        if runs && place.running_since == Some(now.mono) {
+            self.lags.ran.add(now.mono.saturating_sub(placed_at));
+        }
         if runs {
             job.started = true;
-            job.first_run.get_or_insert(now.mono);
+            if job.first_run.is_none() {
+                job.first_run = Some(now.mono);
+                log::info!(
+                    "event=job_started job={id} class={} tasks={} waited_s={:.1} placed_ago_s={:.1}",
+                    job.spec.class,
+                    job.spec.tasks,
+                    now.unix.saturating_sub(job.at) as f64 / 1000.0,
+                    now.mono.saturating_sub(placed_at) as f64 / 1000.0
+                );
+            }
         }
         if new {
             self.plan_due = true;
@@ -374,13 +408,20 @@
     }
 
     /// Orders for a worker whose present report lists these tasks.
-    fn orders_for(&mut self, name: &str, listed: &[TaskReport], active: bool) -> Vec<Order> {
+    fn orders_for(
+        &mut self,
+        name: &str,
+        listed: &[TaskReport],
+        active: bool,
+        now: Now,
+    ) -> Vec<Order> {
         let mut orders = Vec::new();
         let Some(m) = self.machines.get(name) else {
             return orders;
         };
         let (session, seq) = (m.session, m.seq);
         let (draining, returning) = (m.draining.is_some(), m.returning);
+        let mut bells = 0;
         for t in listed {
             let (Some((id, task)), true) = (split_task(&t.task), orders.len() < ORDERS_PER_ANSWER)
             else {
@@ -391,11 +432,18 @@
                 .and_then(|j| j.place(task))
                 .filter(|p| p.machine == name && p.attempt == t.attempt);
             let order = match (t.phase, place) {
-                // The result of an ended task is forgotten only once it is recorded.
-                (TaskPhase::Ended, None) if job.is_none_or(|j| j.is_saved(task)) => Order::Forget {
-                    task: t.task.clone(),
-                    attempt: t.attempt,
-                },
+                // The result of an ended task is forgotten only once it is recorded; the last ones are kept to
+                // ring with.
+                (TaskPhase::Ended, None) if job.is_none_or(|j| j.is_saved(task)) => {
+                    bells += 1;
+                    if bells <= BELLS {
+                        continue;
+                    }
+                    Order::Forget {
+                        task: t.task.clone(),
+                        attempt: t.attempt,
+                    }
+                }
                 (TaskPhase::Ended, _) => continue,
                 (_, None) => stop(&t.task, t.attempt, 0.0),
                 (phase, Some(p)) => match p.stop {
@@ -423,6 +471,7 @@
                 continue;
             };
             if place.stage == Stage::Ready && place.seq <= saved && place.stop.is_none() {
+                self.lags.sent.add(now.mono.saturating_sub(place.at));
                 place.stage = Stage::Sent { session, seq };
                 orders.push(Order::Start {
                     task: task_name(&id, task),
@@ -576,6 +625,52 @@
         }
     }
 
+    /// Makes workers report for which starts are ready. A `launch` goes only in the answer to a report, and the
+    /// next one may be many seconds away; but a worker also reports when its tasks change, and forgetting one
+    /// that has ended is such a change, which may be asked for directly.
+    pub(super) fn ring(&mut self, mail: &mut Mail) {
+        let now = mail.now.mono;
+        for name in std::mem::take(&mut self.to_ring) {
+            let Some(m) = self.machines.get(&name) else {
+                continue;
+            };
+            let ready = m.places.iter().any(|(id, task)| {
+                let job = self.jobs.get(id);
+                let place = job.and_then(|j| j.place(*task));
+                place.is_some_and(|p| p.stage == Stage::Ready && p.stop.is_none())
+                    && job.is_some_and(|j| j.is_saved(*task))
+            });
+            if m.held || !ready || m.returning || now < m.rung_at + RING_REPEAT_MS {
+                continue;
+            }
+            let over = m.ended.iter().position(|(name, attempt)| {
+                split_task(name).is_some_and(|(id, task)| {
+                    let job = self.jobs.get(id);
+                    let placed = job.and_then(|j| j.place(task));
+                    placed.is_none_or(|p| p.attempt != *attempt)
+                        && job.is_none_or(|j| j.is_saved(task))
+                })
+            });
+            let (Some(over), Some(addr)) = (over, m.addr.clone()) else {
+                continue;
+            };
+            if !self.ring_budget.take(now, 1.0) {
+                continue;
+            }
+            let Some(m) = self.machines.get_mut(&name) else {
+                continue;
+            };
+            let (task, attempt) = m.ended.swap_remove(over);
+            m.rung_at = now;
+            let body = wire::encode(&DirectOrders {
+                term: self.term,
+                session: m.session,
+                orders: vec![Order::Forget { task, attempt }],
+            });
+            mail.direct.push((addr, body));
+        }
+    }
+
     /// Stops that should not wait for the next report: of cancelled jobs and of gangs.
     fn send_direct(&mut self, mail: &mut Mail) {
         let now = mail.now.mono;
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -61,11 +61,43 @@
 impl Leader {
     /// Notes that a record is not as wanted.
     pub(super) fn mark(&mut self, what: Dirty) {
+        self.lazy.remove(&what);
         if self.dirty.insert(what.clone()) {
             self.dirty_order.push_back(what);
         }
     }
 
+    /// Notes that a record is not as wanted, where nothing waits for it: what ended on a machine is kept by its
+    /// worker until it is told to forget it, and a place that is free again is only a place not yet used. Such
+    /// changes of a job are written with the next one that matters, or after a while.
+    pub(super) fn mark_lazily(&mut self, what: Dirty, now: Now) {
+        if let Dirty::Job(id) = &what {
+            if self.jobs.get(id).is_some_and(|j| j.final_due().is_some()) {
+                return self.mark(what);
+            }
+        }
+        if !self.dirty.contains(&what) {
+            self.lazy.entry(what).or_insert(now.mono + LAZY_MS);
+        }
+    }
+
+    /// Moves on what has waited long enough.
+    fn end_patience(&mut self, now: u64) {
+        if now < self.next_lazy {
+            return;
+        }
+        self.next_lazy = now + HOUSEKEEPING_MS;
+        let due: Vec<Dirty> = self
+            .lazy
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(what, _)| what.clone())
+            .collect();
+        for what in due {
+            self.mark(what);
+        }
+    }
+
     fn is_busy(&self, what: &Dirty) -> bool {
         match what {
             Dirty::Job(id) => self.jobs.get(id).is_some_and(|j| j.inflight),
@@ -162,6 +194,7 @@
             return;
         }
         let now = mail.now.mono;
+        self.end_patience(now);
         let due: Vec<u64> = self
             .retries
             .iter()
@@ -384,9 +417,17 @@
                         chunk.saved = chunk.saved.max(seq);
                     }
                 }
-                let more = job.chunks.values().any(Chunk::dirty) || job.final_due().is_some();
-                if more {
+                let unsent = |p: &Place| p.stage == Stage::Ready;
+                for (_, p) in job.places().filter(|(_, p)| unsent(p)) {
+                    self.to_ring.insert(p.machine.clone());
+                }
+                let starts = |c: &&Chunk| c.dirty() && c.places.values().any(unsent);
+                let urgent = job.chunks.values().any(|c| starts(&c)) || job.final_due().is_some();
+                let more = job.chunks.values().any(Chunk::dirty);
+                if urgent {
                     self.mark(what);
+                } else if more {
+                    self.mark_lazily(what, mail.now);
                 }
             }
             Part::Filed(id, end) => self.filed(&id, end, mail),
