--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -288,8 +288,10 @@
             self.plan(mail);
         }
         self.flush(mail);
-        if active && !self.to_ring.is_empty() {
+        if active {
             self.ring(mail);
+        } else {
+            self.to_ring.clear();
         }
     }
 
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -78,6 +78,7 @@
             return Heard::Answer(ReportAnswer { term, orders });
         }
         m.token_seen = true;
+        m.held = false;
         if !ready {
             m.pending = Some(report);
             return Heard::Answer(ReportAnswer { term, orders });
@@ -127,19 +128,18 @@
             // The worker has given up on this report.
             return answer(Vec::new());
         }
-        let coming = m.places.iter().any(|(job, task)| {
-            let job = self.jobs.get(job);
-            let place = job.and_then(|j| j.place(*task));
-            place.is_some_and(|p| p.stage == Stage::Ready)
-                && job.is_some_and(|j| !j.is_saved(*task))
-        });
+        let starts = |recorded: bool| {
+            m.places.iter().any(|(job, task)| {
+                let job = self.jobs.get(job);
+                let place = job.and_then(|j| j.place(*task));
+                place.is_some_and(|p| p.stage == Stage::Ready)
+                    && job.is_some_and(|j| j.is_startable(*task) == recorded)
+            })
+        };
+        let (coming, ready) = (starts(false), starts(true));
         let undecided = held
             .round
             .is_some_and(|r| r == self.rounds && self.plan_due);
-        let ready = m.places.iter().any(|(job, task)| {
-            let place = self.jobs.get(job).and_then(|j| j.place(*task));
-            place.is_some_and(|p| p.stage == Stage::Ready)
-        });
         let idle = m.places.is_empty() && m.draining.is_none();
         let wait = if coming || undecided {
             held.settle_until.max(held.idle_until)
@@ -634,12 +634,9 @@
             let Some(m) = self.machines.get(&name) else {
                 continue;
             };
-            let ready = m.places.iter().any(|(id, task)| {
-                let job = self.jobs.get(id);
-                let place = job.and_then(|j| j.place(*task));
-                place.is_some_and(|p| p.stage == Stage::Ready && p.stop.is_none())
-                    && job.is_some_and(|j| j.is_saved(*task))
-            });
+            let startable =
+                |id: &str, task| self.jobs.get(id).is_some_and(|j| j.is_startable(task));
+            let ready = m.places.iter().any(|(id, task)| startable(id, *task));
             if m.held || !ready || m.returning || now < m.rung_at + RING_REPEAT_MS {
                 continue;
             }
