Hold reports of machines with room, prefer machines that are reachable

Cause: rings did not make workers report (a start after a ring still went with the regular report), so a start on a machine with room waited 4 s on average, gangs for their slowest 7 s. Tried in vain and removed: forgetting an ended task through /orders.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -118,15 +118,9 @@
 /// Milliseconds the answer to a worker whose tasks have just ended waits for what comes next there: a round, and
 /// a transaction. Without it the freed place idles until the worker's next report.
 pub const SETTLE_MS: u64 = 1_000;
-/// Milliseconds the answer to a worker without tasks waits for one, well within the worker's patience of 4 s.
-/// Nothing can change on such a machine meanwhile, and a start reaches it at once.
+/// Milliseconds the answer to a worker with room waits for a task, well within the worker's patience of 4 s: a
+/// start reaches it at once meanwhile, instead of at its next report.
 pub const IDLE_HOLD_MS: u64 = 3_000;
-/// Ended tasks left on a machine's list, so that there is something to make it report with.
-pub const BELLS: usize = 2;
-/// Milliseconds between two calls that make a worker report; it reports at most every half second.
-pub const RING_REPEAT_MS: u64 = 1_000;
-/// Such calls a second: each costs a connection.
-pub const RINGS_PER_S: f64 = 25.0;
 /// Milliseconds a change of a job's record that nobody waits for may wait for one that somebody does.
 pub const LAZY_MS: u64 = 15_000;
 /// Milliseconds between steps of housekeeping (silent machines, fleet size).
@@ -156,6 +150,9 @@
 pub const COMING_S: f64 = 10.0;
 /// Factor of a type's boot time after which a machine that is not up is no longer counted on by gangs.
 pub const BOOT_OVERDUE: f64 = 1.5;
+/// How much worse a machine is for each second until its next report, when a start can first be sent; see `misfit`
+/// in `sched` for what it is weighed against.
+pub const REACH_COST: f64 = 2.0;
 /// Part of the fleet (one in that many machines) that may be kept from filling up for gangs.
 pub const RESERVED_PART: usize = 3;
 /// Seconds a job waits without a single start until it goes ahead of the queues' weighted sharing, so that the
--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -358,10 +358,6 @@
     pub stops: bool,
     /// A report of it waits for its answer.
     pub held: bool,
-    /// Ended tasks that its last report listed.
-    pub ended: Vec<(String, u64)>,
-    /// When it was last made to report.
-    pub rung_at: u64,
     pub images: BTreeMap<String, (u64, f64)>,
     pub places: BTreeSet<(String, u32)>,
     pub strays: BTreeSet<(String, u32, u64)>,
@@ -399,8 +395,6 @@
             missing_lists: 0,
             stops: false,
             held: false,
-            ended: Vec::new(),
-            rung_at: 0,
             images: BTreeMap::new(),
             places: BTreeSet::new(),
             strays: BTreeSet::new(),
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -168,9 +168,6 @@
     /// Records whose change may wait, with the time up to which.
     lazy: BTreeMap<Dirty, u64>,
     next_lazy: u64,
-    /// Machines for which starts have just been recorded.
-    to_ring: BTreeSet<String>,
-    ring_budget: Bucket,
     /// Something happened that a held answer may have waited for.
     pub settled: bool,
 }
@@ -237,8 +234,6 @@
             rounds: 0,
             lazy: BTreeMap::new(),
             next_lazy: 0,
-            to_ring: BTreeSet::new(),
-            ring_budget: Bucket::new(RINGS_PER_S, 2.0 * RINGS_PER_S),
             settled: false,
         }
     }
@@ -288,11 +283,6 @@
             self.plan(mail);
         }
         self.flush(mail);
-        if active {
-            self.ring(mail);
-        } else {
-            self.to_ring.clear();
-        }
     }
 
     pub fn next_wake(&self) -> u64 {
@@ -303,9 +293,6 @@
                 self.load_retry_at
             };
         }
-        if !self.to_ring.is_empty() {
-            return 0;
-        }
         let mut at = self.next_housekeeping;
         if self.plan_due {
             at = at.min(self.next_round);
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -116,6 +116,7 @@
             .flatten()
             .map(|t| (t.name.as_str(), t))
             .collect();
+        let report_s = self.settings.deployment.workers.report_s;
         let mut machines = Vec::new();
         let mut index: HashMap<&str, usize> = HashMap::new();
         for (name, m) in &self.machines {
@@ -142,6 +143,12 @@
                 slow: m.is_slow(),
                 images: m.images.keys().map(|i| images.number(i)).collect(),
                 busy_s: 0.0,
+                reach_s: if m.held {
+                    0.0
+                } else {
+                    let since = m.last_report.map_or(0, |at| now.mono.saturating_sub(at));
+                    (report_s - since as f64 / 1000.0).max(0.0)
+                },
                 coming_s: {
                     let age = now.mono.saturating_sub(m.first_known) as f64 / 1000.0;
                     let coming = !m.synced && m.last_report.is_none() && !m.failed && !m.returning;
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -87,24 +87,20 @@
         let before = self.machines.get(&name).map_or(0, |m| m.places.len());
         self.work_in(&report, now);
         let report_ms = (self.settings.deployment.workers.report_s * 1000.0) as u64;
-        let live = report.tasks.iter().any(|t| t.phase != TaskPhase::Ended);
         let hold_ms = IDLE_HOLD_MS.min(report_ms);
-        let Some(m) = self.machines.get_mut(&name) else {
-            return Heard::Answer(ReportAnswer { term, orders });
-        };
-        m.ended = report
-            .tasks
-            .iter()
-            .filter(|t| t.phase == TaskPhase::Ended)
-            .map(|t| (t.task.clone(), t.attempt))
-            .collect();
+        let after = self.machines.get(&name).map_or(0, |m| m.places.len());
         let held = Held {
-            seq: (m.session, m.seq),
-            round: (m.places.len() < before).then_some(self.rounds),
+            seq: (report.session, report.seq),
+            round: (after < before).then_some(self.rounds),
             machine: name.clone(),
             tasks: report.tasks,
             settle_until: now.mono + if active { SETTLE_MS } else { 0 },
-            idle_until: now.mono + if active && !live { hold_ms } else { 0 },
+            idle_until: now.mono
+                + if active && self.has_room(&name) {
+                    hold_ms
+                } else {
+                    0
+                },
         };
         match self.held_answer(&held, active, now) {
             Some(answer) => Heard::Answer(answer),
@@ -117,6 +113,20 @@
         }
     }
 
+    /// Whether a machine has room for what its type is rented for: one GPU, or else one CPU.
+    fn has_room(&self, name: &str) -> bool {
+        let Some(m) = self.machines.get(name).filter(|m| m.draining.is_none()) else {
+            return false;
+        };
+        let mut types = self.types.want.iter().flatten();
+        let Some(t) = types.find(|t| t.name == m.kind) else {
+            return m.places.is_empty();
+        };
+        let used = m.places.iter().filter_map(|(id, _)| self.jobs.get(id));
+        let (cpus, gpus) = used.fold((0.0, 0.0), |(c, g), j| (c + j.spec.cpus, g + j.spec.gpus));
+        t.cpus - cpus >= 1.0 && (t.gpus <= 0.0 || t.gpus - gpus >= 1.0)
+    }
+
     /// The answer to a held report, once there is nothing left to wait for.
     pub fn held_answer(&mut self, held: &Held, active: bool, now: Now) -> Option<ReportAnswer> {
         let term = self.term;
@@ -140,10 +150,9 @@
         let undecided = held
             .round
             .is_some_and(|r| r == self.rounds && self.plan_due);
-        let idle = m.places.is_empty() && m.draining.is_none();
         let wait = if coming || undecided {
             held.settle_until.max(held.idle_until)
-        } else if idle && !ready {
+        } else if m.draining.is_none() && !ready {
             held.idle_until
         } else {
             0
@@ -421,7 +430,6 @@
         };
         let (session, seq) = (m.session, m.seq);
         let (draining, returning) = (m.draining.is_some(), m.returning);
-        let mut bells = 0;
         for t in listed {
             let (Some((id, task)), true) = (split_task(&t.task), orders.len() < ORDERS_PER_ANSWER)
             else {
@@ -432,18 +440,11 @@
                 .and_then(|j| j.place(task))
                 .filter(|p| p.machine == name && p.attempt == t.attempt);
             let order = match (t.phase, place) {
-                // The result of an ended task is forgotten only once it is recorded; the last ones are kept to
-                // ring with.
-                (TaskPhase::Ended, None) if job.is_none_or(|j| j.is_saved(task)) => {
-                    bells += 1;
-                    if bells <= BELLS {
-                        continue;
-                    }
-                    Order::Forget {
-                        task: t.task.clone(),
-                        attempt: t.attempt,
-                    }
-                }
+                // The result of an ended task is forgotten only once it is recorded.
+                (TaskPhase::Ended, None) if job.is_none_or(|j| j.is_saved(task)) => Order::Forget {
+                    task: t.task.clone(),
+                    attempt: t.attempt,
+                },
                 (TaskPhase::Ended, _) => continue,
                 (_, None) => stop(&t.task, t.attempt, 0.0),
                 (phase, Some(p)) => match p.stop {
@@ -472,6 +473,10 @@
             };
             if place.stage == Stage::Ready && place.seq <= saved && place.stop.is_none() {
                 self.lags.sent.add(now.mono.saturating_sub(place.at));
+                log::debug!(
+                    "event=launch task={id}/{task} machine={name} after_ms={}",
+                    now.mono.saturating_sub(place.at)
+                );
                 place.stage = Stage::Sent { session, seq };
                 orders.push(Order::Start {
                     task: task_name(&id, task),
@@ -625,49 +630,6 @@
         }
     }
 
-    /// Makes workers report for which starts are ready. A `launch` goes only in the answer to a report, and the
-    /// next one may be many seconds away; but a worker also reports when its tasks change, and forgetting one
-    /// that has ended is such a change, which may be asked for directly.
-    pub(super) fn ring(&mut self, mail: &mut Mail) {
-        let now = mail.now.mono;
-        for name in std::mem::take(&mut self.to_ring) {
-            let Some(m) = self.machines.get(&name) else {
-                continue;
-            };
-            let startable =
-                |id: &str, task| self.jobs.get(id).is_some_and(|j| j.is_startable(task));
-            let ready = m.places.iter().any(|(id, task)| startable(id, *task));
-            if m.held || !ready || m.returning || now < m.rung_at + RING_REPEAT_MS {
-                continue;
-            }
-            let over = m.ended.iter().position(|(name, attempt)| {
-                split_task(name).is_some_and(|(id, task)| {
-                    let job = self.jobs.get(id);
-                    let placed = job.and_then(|j| j.place(task));
-                    placed.is_none_or(|p| p.attempt != *attempt)
-                        && job.is_none_or(|j| j.is_saved(task))
-                })
-            });
-            let (Some(over), Some(addr)) = (over, m.addr.clone()) else {
-                continue;
-            };
-            if !self.ring_budget.take(now, 1.0) {
-                continue;
-            }
-            let Some(m) = self.machines.get_mut(&name) else {
-                continue;
-            };
-            let (task, attempt) = m.ended.swap_remove(over);
-            m.rung_at = now;
-            let body = wire::encode(&DirectOrders {
-                term: self.term,
-                session: m.session,
-                orders: vec![Order::Forget { task, attempt }],
-            });
-            mail.direct.push((addr, body));
-        }
-    }
-
     /// Stops that should not wait for the next report: of cancelled jobs and of gangs.
     fn send_direct(&mut self, mail: &mut Mail) {
         let now = mail.now.mono;
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -418,9 +418,6 @@
                     }
                 }
                 let unsent = |p: &Place| p.stage == Stage::Ready;
-                for (_, p) in job.places().filter(|(_, p)| unsent(p)) {
-                    self.to_ring.insert(p.machine.clone());
-                }
                 let starts = |c: &&Chunk| c.dirty() && c.places.values().any(unsent);
                 let urgent = job.chunks.values().any(|c| starts(&c)) || job.final_due().is_some();
                 let more = job.chunks.values().any(Chunk::dirty);
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -288,6 +288,7 @@
             slow: false,
             images: vec![],
             busy_s: 0.0,
+            reach_s: 0.0,
             coming_s: None,
         };
         let mut job = JobView {
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -6,7 +6,7 @@
 //! after the one reached.
 
 use crate::{weight_of, Policy, Res};
-use constants::{COMING_S, FETCH_COST_S, RESERVED_PART};
+use constants::{COMING_S, FETCH_COST_S, REACH_COST, RESERVED_PART};
 
 /// A machine that tasks could be placed on.
 #[derive(Debug, Clone)]
@@ -35,6 +35,8 @@
     pub images: Vec<usize>,
     /// Seconds until its tasks are expected to be over.
     pub busy_s: f64,
+    /// Seconds until a start can be sent there.
+    pub reach_s: f64,
     /// Of a machine on its way: seconds until it is expected to be up. Nothing can be placed there yet, but a
     /// gang may keep it.
     pub coming_s: Option<f64>,
@@ -398,6 +400,7 @@
             // Room that gangs and other work bound to ordinary machines can use is given last.
             misfit += 40.0;
         }
+        misfit += REACH_COST * m.reach_s;
         let mut rest = m.free;
         rest.sub(&j.task);
         misfit + weight_of_task(&rest).max(0.0)
@@ -887,6 +890,7 @@
             slow: false,
             images: vec![0],
             busy_s: 0.0,
+            reach_s: 0.0,
             coming_s: None,
         }
     }
