--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -51,6 +51,9 @@
 /// An open job's record as last seen: its version, and whether that says it is cancelled.
 type Version = (u64, bool);
 
+/// A proof under way: its number, its keys in order with the versions asked about, and its tickets.
+type Proof = (u64, Vec<(String, Version)>, Vec<u64>);
+
 pub(crate) struct Gateway {
     teams: Vec<Team>,
     types: Option<Vec<MachineType>>,
@@ -63,9 +66,9 @@
     /// Versions of open jobs' records, in two generations. Never an answer by themselves.
     versions: HashMap<String, Version>,
     old_versions: HashMap<String, Version>,
-    /// Tickets that wait for a proof, and the proof under way: its number, its keys and its tickets.
+    /// Tickets that wait for a proof, and the one under way.
     proving: VecDeque<u64>,
-    proof: Option<(u64, Vec<(String, Version)>, Vec<u64>)>,
+    proof: Option<Proof>,
     next_proof: u64,
     proofs: u64,
     proof_guards: usize,
