Doubt machines that hear nothing; old-term reports prove nothing; stories for both

A machine whose reports arrive while answers do not got the same work again and again: now three starts not taken, or a session that ends under our answers, keep work away until a session outlives a lease, and four leases of that give it back. A report with an older term, perhaps a late copy, no longer makes a machine look alive. Machines gone are remembered for 10 minutes. Stories: one-way machine, late copies at a successor, many questions, a large gang under small work, a leader back at once.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -88,6 +88,12 @@
 pub const DRIFT: f64 = 1.002;
 /// Milliseconds added to every wait for a lease of another machine to run out.
 pub const LEASE_MARGIN_MS: u64 = 1_000;
+/// Starts in a row that a worker did not take until answers are held not to reach it.
+pub const UNHEARD_MAX: u32 = 3;
+/// Leases after which an empty machine that answers do not reach is given back: cuts are mostly shorter.
+pub const UNHEARD_LEASES: u64 = 4;
+/// Milliseconds a machine that is gone is remembered, so that late copies of its reports change nothing.
+pub const GONE_MS: u64 = 600_000;
 /// Orders in one answer to a worker: 400 of at most 120 bytes stay under the body limit.
 pub const ORDERS_PER_ANSWER: usize = 400;
 /// Milliseconds subtracted when a leader without the state service reckons how long it may keep leases alive.
--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -356,6 +356,14 @@
     pub missing_lists: u32,
     /// Some task of it has been told to stop.
     pub stops: bool,
+    /// The cloud has named or listed it, so that it may be counted on.
+    pub expected: bool,
+    /// When its present session was first heard of.
+    pub session_since: u64,
+    /// Starts in a row that were sent in answers and not taken.
+    pub unheard: u32,
+    /// Since when our answers seem not to reach it, though its reports reach us.
+    pub doubted: Option<u64>,
     /// A report of it waits for its answer.
     pub held: bool,
     pub images: BTreeMap<String, (u64, f64)>,
@@ -394,6 +402,10 @@
             failed: false,
             missing_lists: 0,
             stops: false,
+            expected: false,
+            session_since: now,
+            unheard: 0,
+            doubted: None,
             held: false,
             images: BTreeMap::new(),
             places: BTreeSet::new(),
@@ -416,6 +428,14 @@
         }
     }
 
+    /// Answers seem not to reach it: no new work until a session outlives a lease.
+    pub fn doubt(&mut self, now: u64, why: &str) {
+        if self.doubted.is_none() {
+            log::info!("event=machine_unheard kind={} why={why:?}", self.kind);
+            self.doubted = Some(now);
+        }
+    }
+
     pub fn is_slow(&self) -> bool {
         self.pace.1 >= 2 && self.pace.0 / f64::from(self.pace.1) > constants::SLOW_FACTOR
     }
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -104,7 +104,7 @@
         self.give_back(mail);
         self.resend_rentals(mail);
         self.rent(mail);
-        let lag_ms = (self.settings.deployment.cloud.list_lag_s * 4000.0) as u64 + 60_000;
+        let lag_ms = (self.settings.deployment.cloud.list_lag_s * 4000.0) as u64 + GONE_MS;
         self.gone.retain(|_, at| now.mono < *at + lag_ms);
         if now.mono >= self.next_summary {
             self.next_summary = now.mono + 15_000;
@@ -338,6 +338,11 @@
                 Some(CONSOLIDATED)
             } else if empty && m.failed_jobs.len() >= FAULTY_JOBS {
                 Some("faulty")
+            } else if empty
+                && m.doubted
+                    .is_some_and(|at| now > at + UNHEARD_LEASES * lapse_ms)
+            {
+                Some("answers do not reach it")
             } else if thrifty
                 && empty
                 && m.synced
@@ -463,7 +468,7 @@
         }
         let mut coming = vec![0; offers.len()];
         for m in self.machines.values() {
-            if m.known && !m.synced && !m.failed && !m.returning {
+            if m.known && m.expected && !m.synced && !m.failed && !m.returning {
                 let key = (m.kind.clone(), m.zone.clone(), m.spot);
                 if let Some(i) = keys.iter().position(|k| *k == key) {
                     coming[i] += 1;
@@ -623,6 +628,7 @@
                         .entry(machine)
                         .or_insert_with(|| Machine::new(now.mono));
                     m.describe(&rent.kind, &rent.zone, rent.spot);
+                    m.expected = true;
                 }
             }
             CloudReply::NoCapacity | CloudReply::Invalid => {
@@ -661,6 +667,7 @@
             m.addr = listed.addr.clone();
         }
         m.listed = true;
+        m.expected = true;
         m.missing_lists = 0;
         if listed.phase == MachinePhase::Failed && !m.failed {
             log::info!("event=machine_failed machine={}", listed.id);
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -86,6 +86,7 @@
         m.known
             && m.synced
             && m.draining.is_none()
+            && m.doubted.is_none()
             && m.notice_at.is_none()
             && !m.failed
             && !m.returning
@@ -151,7 +152,7 @@
                 },
                 coming_s: {
                     let age = now.mono.saturating_sub(m.first_known) as f64 / 1000.0;
-                    let coming = !m.synced && m.last_report.is_none() && !m.failed && !m.returning;
+                    let coming = m.expected && !m.synced && !m.failed && !m.returning;
                     (coming && m.places.is_empty() && age < t.boot_s * BOOT_OVERDUE)
                         .then(|| (t.boot_s - age).max(0.0))
                 },
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -53,6 +53,7 @@
             // Sent before the machine went: it changes nothing.
             return Heard::Answer(ReportAnswer { term, orders });
         }
+        let lease_ms = self.lease_lapse_ms();
         let m = self
             .machines
             .entry(report.machine.clone())
@@ -60,23 +61,40 @@
         if (report.session, report.seq) <= (m.session, m.seq) {
             return Heard::Answer(ReportAnswer { term, orders });
         }
-        (m.session, m.seq) = (report.session, report.seq);
+        // Whatever is answered counts for when the worker's lease may have run out.
+        m.last_answer = Some(now.mono);
         m.describe(&report.kind, &report.zone, report.spot);
         m.addr = Some(report.addr.clone());
-        let was_silent = m.last_report.is_none();
+        if report.term < self.term {
+            // The worker may still execute an earlier leader's answer, and this may be a late copy: only its next
+            // report, with our term, says what is on the machine, or that it is there at all.
+            return Heard::Answer(ReportAnswer { term, orders });
+        }
+        let heard = m.last_report.is_some_and(|at| now.mono < at + 2 * lease_ms);
+        if m.token_seen && report.session > m.session && heard {
+            // Its lease ran out although we heard and answered it all along: answers do not reach it.
+            m.doubt(now.mono, "its lease ran out under our answers");
+        }
+        if report.session > m.session {
+            m.session_since = now.mono;
+        }
+        if m.doubted
+            .is_some_and(|at| now.mono > at.max(m.session_since) + lease_ms)
+        {
+            // A session outlives a lease only if answers arrive.
+            m.doubted = None;
+            m.unheard = 0;
+            self.plan_due = true;
+            log::info!("event=machine_hears machine={}", report.machine);
+        }
+        (m.session, m.seq) = (report.session, report.seq);
+        if m.last_report.is_none() {
+            self.plan_due = true;
+        }
         m.last_report = Some(now.mono);
-        m.last_answer = Some(now.mono);
         m.notice_at = report
             .notice_s
             .map(|s| now.mono + (s.max(0.0) * 1000.0) as u64);
-        if was_silent {
-            self.plan_due = true;
-        }
-        if report.term < self.term {
-            // The worker may still execute an earlier leader's answer: only its next report, with our term,
-            // says what is on the machine.
-            return Heard::Answer(ReportAnswer { term, orders });
-        }
         m.token_seen = true;
         m.held = false;
         if !ready {
@@ -113,6 +131,12 @@
         }
     }
 
+    /// Milliseconds after our last answer at which a worker's lease has certainly run out.
+    pub(super) fn lease_lapse_ms(&self) -> u64 {
+        let lease_s = self.settings.deployment.workers.lease_s;
+        (lease_s * 1000.0 * DRIFT) as u64 + LEASE_MARGIN_MS
+    }
+
     /// Whether a machine has room for what its type is rented for: one GPU, or else one CPU.
     fn has_room(&self, name: &str) -> bool {
         let Some(m) = self.machines.get(name).filter(|m| m.draining.is_none()) else {
@@ -237,6 +261,9 @@
         let timed = place.stage != Stage::Recorded;
         let placed_at = place.at;
         if matches!(place.stage, Stage::Sent { .. }) {
+            if let Some(m) = self.machines.get_mut(&place.machine) {
+                m.unheard = 0;
+            }
             self.lags.seen.add(now.mono.saturating_sub(placed_at));
         }
         place.stage = Stage::Seen;
@@ -309,7 +336,14 @@
                 }
                 // One report is in flight at a time, so this one was written after the answer with the
                 // `launch` was executed or dropped.
-                if session == report.session && place.stop.is_none() {
+                let unheard = self.machines.get_mut(&report.machine).is_some_and(|m| {
+                    m.unheard += 1;
+                    if m.unheard >= UNHEARD_MAX {
+                        m.doubt(now.mono, "starts do not reach it");
+                    }
+                    m.doubted.is_some()
+                });
+                if session == report.session && place.stop.is_none() && !unheard {
                     place.stage = Stage::Ready;
                 } else {
                     self.free_place(id, task, "the start never arrived", now);
@@ -525,8 +559,7 @@
     /// Machines that are silent, under notice, faulty or gone; gangs that can't go on.
     pub(super) fn watch_machines(&mut self, active: bool, mail: &mut Mail) {
         let now = mail.now;
-        let w = &self.settings.deployment.workers;
-        let lapse_ms = (w.lease_s * 1000.0 * DRIFT) as u64 + LEASE_MARGIN_MS;
+        let lapse_ms = self.lease_lapse_ms();
         let mut free: Vec<(String, &'static str)> = Vec::new();
         for (name, m) in &self.machines {
             if m.places.is_empty() && m.strays.is_empty() {
--- a/crates/control/tests/stories.rs
+++ b/crates/control/tests/stories.rs
@@ -637,3 +637,144 @@
     assert!(w.until(10_000, |w| w.state.keys(CHUNKS).is_empty()));
     clean(&w);
 }
+
+/// A machine whose reports arrive while no answer reaches it was placed on again and again.
+#[test]
+fn a_machine_that_hears_nothing_gets_no_work_until_a_session_outlives_a_lease() {
+    // Machines stand ready here: an idle one stays.
+    let mut w = World::new(1, |i| {
+        let mut s = settings(i, 1, 0.0);
+        s.deployment.objectives[0].kind = "guarantee".into();
+        s
+    });
+    w.add_machine("vm-000000", "a");
+    w.add_machine("vm-000001", "a");
+    w.run(6_000);
+    w.workers.get_mut("vm-000000").expect("worker").one_way = true;
+    assert_eq!(w.submit(0, &array("run-40", 8), runs(6_000)), 201);
+    assert!(
+        done(&mut w, "run-40", 60_000),
+        "nothing waits for it for ever"
+    );
+    assert_eq!(w.submit(0, &array("run-41", 4), runs(3_000)), 201);
+    assert!(
+        done(&mut w, "run-41", 8_000),
+        "new work does not go there at all"
+    );
+    let started = |w: &World| w.workers["vm-000000"].started.len();
+    assert_eq!(started(&w), 0);
+    w.workers.get_mut("vm-000000").expect("worker").one_way = false;
+    w.run(30_000);
+    assert_eq!(w.submit(0, &array("run-42", 8), runs(4_000)), 201);
+    assert!(w.until(8_000, |w| started(w) > 0), "tried again once heard");
+    clean(&w);
+}
+
+/// Copies of reports that come late prove nothing, neither to who saw the newer one nor to a successor.
+#[test]
+fn a_late_copy_brings_no_machine_back_and_tells_a_successor_nothing() {
+    let mut w = world(3, 2, 0.0);
+    let (old, other) = (w.leader().expect("leader"), follower(&w));
+    assert_eq!(w.submit(other, &array("run-43", 8), runs(14_000)), 201);
+    w.run(4_000);
+    let now = w.now;
+    let ghost = w.workers.get_mut("vm-000001").expect("worker");
+    let copy = wire::encode(&ghost.report(fakes::KIND, now));
+    let tasks = ghost.tasks.len();
+    assert!(tasks > 0);
+    // The machine goes with all that is on it; its leader crashes too.
+    w.workers.remove("vm-000001");
+    w.crash(old);
+    assert!(w.until(6_000, |w| w.leader().is_some()));
+    let leader = w.leader().expect("leader");
+    for _ in 0..40 {
+        w.run(1_000);
+        let (status, body) = w.ask(leader, "POST", "/v1/report", copy.clone());
+        let answer: ReportAnswer = wire::decode(&body).expect("answer");
+        assert_eq!((status, answer.orders.len()), (200, 0), "no work for it");
+    }
+    assert!(w.until(60_000, |w| w.phase(leader, "run-43") == Some(Phase::Done)));
+    let last = w.workers["vm-000000"].started.len();
+    assert_eq!(last, 8, "what the ghost held was started elsewhere, once");
+    clean(&w);
+}
+
+/// Found on a simulated day: reading one record for each poll used up the state service's rate.
+#[test]
+fn questions_about_many_jobs_cost_few_requests_and_are_never_out_of_date() {
+    let mut w = world(3, 1, 0.0);
+    let ids: Vec<String> = (0..40).map(|n| format!("run-5{n:02}")).collect();
+    for id in &ids {
+        assert_eq!(w.submit(0, &array(id, 1), runs(900_000)), 201);
+    }
+    w.run(3_000);
+    for node in 0..3 {
+        let before = w.state.requests;
+        let told = w.phases(node, &ids);
+        assert!(told.iter().all(|p| p.is_some()), "{told:?}");
+        let spent = w.state.requests - before;
+        assert!(spent < 30, "{spent} requests in 2 s, renewals included");
+    }
+    // Cancelled through one node, the others must say so at once.
+    assert_eq!(w.abort(0, &ids[7]), Some(Phase::Aborted));
+    for node in [1, 2, 0] {
+        let told = w.phases(node, &ids);
+        assert_eq!(told[7], Some(Phase::Aborted), "node {node}");
+        assert!(told.iter().all(|p| p.is_some()));
+    }
+    clean(&w);
+}
+
+/// A gang of whole machines must not starve behind small work that keeps coming.
+#[test]
+fn a_large_gang_begins_though_small_work_never_ends() {
+    let mut w = world(1, 12, 0.0);
+    let small = |n: u64| (array(&format!("run-6{n:03}"), 6), runs(7_000));
+    for n in 0..14 {
+        let (job, b) = small(n);
+        assert_eq!(w.submit(0, &job, b), 201);
+    }
+    let b = Behaviour {
+        gang: 6,
+        ..runs(20_000)
+    };
+    let mut big = gang("run-70", 6);
+    big.guess_s = 2_000.0;
+    assert_eq!(w.submit(0, &big, b), 201);
+    let began = (14..130).any(|n| {
+        let (job, b) = small(n);
+        assert_eq!(w.submit(0, &job, b), 201);
+        w.run(1_000);
+        w.phase(0, "run-70") == Some(Phase::Running)
+    });
+    assert!(
+        began,
+        "within some two minutes, not behind all that came later"
+    );
+    clean(&w);
+}
+
+/// A process is back before its own lease is over, while what it had sent still arrives.
+#[test]
+fn a_leader_back_at_once_takes_a_new_term_and_its_late_transactions_count_for_nothing() {
+    let mut w = world(3, 2, 0.0);
+    let old = w.leader().expect("leader");
+    let term = w.term_of(old);
+    w.late_txns.insert(old, 3_000);
+    assert_eq!(
+        w.submit(follower(&w), &array("run-44", 4), runs(6_000)),
+        201
+    );
+    w.run(300);
+    w.crash(old);
+    w.late_txns.clear();
+    w.run(100);
+    w.start(old);
+    assert!(w.until(2_000, |w| w.leader().is_some()), "no long vacancy");
+    let leader = w.leader().expect("leader");
+    assert!(w.term_of(leader) > term);
+    assert!(w.until(30_000, |w| w.phase(leader, "run-44") == Some(Phase::Done)));
+    let started: usize = w.workers.values().map(|m| m.started.len()).sum();
+    assert_eq!(started, 4, "each task once");
+    clean(&w);
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -259,6 +259,22 @@
         self.ask(node, "POST", "/submissions", wire::encode(job)).0
     }
 
+    /// Asks a node for the phases of many jobs at the same moment.
+    pub fn phases(&mut self, node: usize, ids: &[String]) -> Vec<Option<Phase>> {
+        let targets = ids.iter().map(|id| format!("/submissions/{id}"));
+        let sent: Vec<u64> = targets
+            .map(|t| self.send(node, "GET", &t, vec![]))
+            .collect();
+        self.run(2_000);
+        let read = |(status, body): (u16, Vec<u8>)| {
+            let status: Option<JobStatus> = wire::decode(&body).ok().filter(|_| status == 200);
+            status.map(|s| s.phase)
+        };
+        sent.iter()
+            .map(|id| self.answers.remove(id).and_then(read))
+            .collect()
+    }
+
     /// Asks for a job's phase.
     pub fn phase(&mut self, node: usize, id: &str) -> Option<Phase> {
         let (status, body) = self.ask(node, "GET", &format!("/submissions/{id}"), vec![]);
@@ -449,6 +465,7 @@
                     let reached = self.stuck_workers.is_none();
                     if reached
                         && now >= w.cut_until
+                        && !w.one_way
                         && direct.term >= w.term
                         && direct.session == w.session
                     {
@@ -470,7 +487,7 @@
         let Some((sent, _)) = w.in_flight.filter(|f| f.1 == seq) else {
             return;
         };
-        if now < w.cut_until {
+        if now < w.cut_until || w.one_way {
             return;
         }
         if w.lose_answers > 0 {
--- a/crates/fakes/src/state.rs
+++ b/crates/fakes/src/state.rs
@@ -30,6 +30,8 @@
     pub watches: Vec<Watch>,
     /// Puts and deletes so far.
     pub writes: u64,
+    /// Requests so far.
+    pub requests: u64,
 }
 
 fn param<'a>(target: &'a str, name: &str) -> Option<&'a str> {
@@ -107,6 +109,7 @@
         target: &str,
         body: &[u8],
     ) -> Option<(u16, Vec<u8>)> {
+        self.requests += 1;
         let path = target.split('?').next().unwrap_or_default();
         if method == "POST" && path == "/multi" {
             return Some(match wire::decode(body) {
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -59,6 +59,8 @@
     pub taken_at: Option<u64>,
     /// Answers still to be lost on their way here.
     pub lose_answers: u32,
+    /// Its reports arrive, but neither answers nor commands reach it.
+    pub one_way: bool,
     /// Attempts started on this machine, in order.
     pub started: Vec<(String, u64)>,
 }
@@ -81,6 +83,7 @@
             cut_until: 0,
             taken_at: None,
             lose_answers: 0,
+            one_way: false,
             started: Vec::new(),
         }
     }
