--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -212,6 +212,8 @@
 pub const IDLE_ORDINARY: f64 = 0.6;
 /// Seconds between looks for a machine whose tasks fit elsewhere.
 pub const CONSOLIDATE_S: f64 = 4.0;
+/// Part of the fleet (one in that many machines) that may be emptied so at a time.
+pub const CONSOLIDATE_PART: usize = 64;
 /// Seconds a machine must still be busy for its emptying to pay: saving, starting and fetching again cost some.
 pub const CONSOLIDATE_LEFT_S: f64 = 30.0;
 
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -147,8 +147,8 @@
         ((boot * BOOT_PATIENCE + BOOT_PATIENCE_S) * 1000.0) as u64
     }
 
-    /// Where money counts, empties an ordinary machine whose few tasks fit on others, so that it can go back.
-    /// One at a time, and only while nothing waits.
+    /// Where money counts, empties ordinary machines whose few tasks fit on others, so that they can go back. A
+    /// small part of the fleet at a time, and only while nothing waits.
     fn consolidate(&mut self, mail: &mut Mail) {
         let now = mail.now;
         if !self.settings.thrifty() || now.mono < self.next_consolidation {
@@ -158,14 +158,13 @@
         let picture = self.picture(now);
         let view = &picture.view;
         let waiting = view.jobs.iter().any(|j| !j.waiting.is_empty());
-        let leaving = view.running.iter().any(|r| !r.movable && r.cost_s < 60.0);
-        if waiting
-            || leaving
-                && self
-                    .machines
-                    .values()
-                    .any(|m| m.draining == Some(CONSOLIDATED))
-        {
+        let emptying = self
+            .machines
+            .values()
+            .filter(|m| m.draining == Some(CONSOLIDATED) && !m.returning)
+            .count();
+        let most = 1 + view.machines.len() / CONSOLIDATE_PART;
+        if waiting || emptying >= most {
             return;
         }
         let mut on: Vec<Vec<&sched::RunningView>> = vec![Vec::new(); view.machines.len()];
@@ -177,50 +176,64 @@
             .filter(|&o| view.machines[o].free.gpus > 0.0 || view.machines[o].total.gpus <= 0.0)
             .map(|o| (o, view.machines[o].free))
             .collect();
-        let candidate = (0..view.machines.len()).filter(|&m| {
-            let machine = &view.machines[m];
-            let tasks = &on[m];
-            let few = machine.free.gpus >= machine.total.gpus * 0.5
-                && machine.free.cpus >= machine.total.cpus * 0.4;
-            let long = machine.busy_s >= CONSOLIDATE_LEFT_S;
-            let movable = tasks.iter().all(|r| {
-                let job = self.jobs.get(&picture.jobs[r.job]);
-                r.movable && job.is_some_and(|j| !j.is_gang() && j.spec.checkpoint_s > 0.0)
-            });
-            let mut fit = || {
-                let mut taken: Vec<(usize, Res)> = Vec::new();
-                let all = tasks.iter().all(|r| {
-                    let job = &view.jobs[r.job];
-                    let room = rooms
-                        .iter_mut()
-                        .find(|(o, room)| *o != m && room.fits(&r.res));
-                    let plain = job.spot && job.zone.is_none() && !job.one_zone;
-                    let found = room.map(|(o, room)| {
-                        room.sub(&r.res);
-                        taken.push((*o, r.res));
-                    });
-                    found.is_some() && plain && job.zone_cap.is_none()
-                });
-                for (o, res) in taken {
-                    if let Some((_, room)) = rooms.iter_mut().find(|(at, _)| *at == o) {
-                        room.add(&res);
-                    }
-                }
-                all
-            };
-            machine.usable && !machine.spot && !tasks.is_empty() && few && long && movable && fit()
-        });
-        let freest = candidate.max_by(|&a, &b| {
+        // Fullest first: what is moved fills up what stays.
+        rooms.sort_by(|a, b| a.1.gpus.total_cmp(&b.1.gpus));
+        let mut candidates: Vec<usize> = (0..view.machines.len())
+            .filter(|&m| {
+                let machine = &view.machines[m];
+                let few = machine.free.gpus >= machine.total.gpus * 0.5
+                    && machine.free.cpus >= machine.total.cpus * 0.4;
+                let long = machine.busy_s >= CONSOLIDATE_LEFT_S;
+                let movable = || {
+                    on[m].iter().all(|r| {
+                        let job = self.jobs.get(&picture.jobs[r.job]);
+                        r.movable && job.is_some_and(|j| !j.is_gang() && j.spec.checkpoint_s > 0.0)
+                    })
+                };
+                let busy = !on[m].is_empty();
+                machine.usable && !machine.spot && busy && few && long && movable()
+            })
+            .collect();
+        candidates.sort_by(|&a, &b| {
             let free = |m: usize| view.machines[m].free.gpus;
-            free(a).total_cmp(&free(b))
+            free(b).total_cmp(&free(a))
         });
-        if let Some(name) = freest.map(|m| picture.machines[m].clone()) {
-            if let Some(m) = self.machines.get_mut(&name) {
-                log::info!(
-                    "event=consolidate machine={name} kind={} tasks={}",
-                    m.kind,
-                    m.places.len()
-                );
+        let mut filled = BTreeSet::new();
+        let mut chosen: Vec<usize> = Vec::new();
+        for m in candidates {
+            if chosen.len() + emptying >= most {
+                break;
+            }
+            if filled.contains(&m) {
+                continue;
+            }
+            let mut taken: Vec<(usize, Res)> = Vec::new();
+            let all = on[m].iter().all(|r| {
+                let job = &view.jobs[r.job];
+                let plain = job.spot && job.zone.is_none() && !job.one_zone;
+                let fits = |(o, room): &&mut (usize, Res)| {
+                    *o != m && !chosen.contains(o) && room.fits(&r.res)
+                };
+                let found = rooms.iter_mut().find(fits).map(|(o, room)| {
+                    room.sub(&r.res);
+                    taken.push((*o, r.res));
+                });
+                found.is_some() && plain && job.zone_cap.is_none()
+            });
+            if all {
+                filled.extend(taken.iter().map(|(o, _)| *o));
+                chosen.push(m);
+                continue;
+            }
+            for (o, res) in taken {
+                if let Some((_, room)) = rooms.iter_mut().find(|(at, _)| *at == o) {
+                    room.add(&res);
+                }
+            }
+        }
+        for m in chosen {
+            if let Some(m) = self.machines.get_mut(&picture.machines[m]) {
+                log::info!("event=consolidate kind={} tasks={}", m.kind, m.places.len());
                 m.draining = Some(CONSOLIDATED);
             }
         }
