--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -159,6 +159,8 @@
 /// How much worse a machine is for each second until its next report, when a start can first be sent; see `misfit`
 /// in `sched` for what it is weighed against.
 pub const REACH_COST: f64 = 2.0;
+/// Seconds before the latest start that still meets an aim at which a job goes ahead of the weighted sharing.
+pub const URGENT_S: f64 = 12.0;
 /// Part of the fleet (one in that many machines) that may be kept from filling up for gangs.
 pub const RESERVED_PART: usize = 3;
 /// Seconds a job waits without a single start until it goes ahead of the queues' weighted sharing, so that the
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -226,6 +226,7 @@
             } else {
                 Vec::new()
             };
+            let latest = self.latest_start(job, secs, now);
             let todo = job.spec.tasks.saturating_sub(job.done) as f64;
             let policy = self.operator.policy();
             let wanted_pilots = pilots_of(&policy, job.tasks());
@@ -259,17 +260,19 @@
                     queue_of(&policy, (secs * todo - ran).max(0.0))
                 },
                 service: job.is_service(),
-                order: self.latest_start(job, secs, now),
+                order: latest,
                 running: job.placed,
                 kept: job
                     .kept
                     .iter()
                     .filter_map(|m| index.get(m.as_str()).copied())
                     .collect(),
-                aged: job.first_run.is_none()
-                    && job.placed == 0
-                    && job.done == 0
-                    && now.unix.saturating_sub(job.at) as f64 > AGED_S * 1000.0,
+                aged: {
+                    let begun = job.first_run.is_some() || job.placed > 0 || job.done > 0;
+                    let age_s = now.unix.saturating_sub(job.at) as f64 / 1000.0;
+                    let urgent = now.unix + (URGENT_S * 1000.0) as u64 >= latest;
+                    urgent || !begun && age_s > AGED_S
+                },
                 avoid: if job.fail_machines.len() > FAULTY_JOBS {
                     Vec::new()
                 } else {
