--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -462,12 +462,13 @@
             .map(|m| {
                 let view = &self.view.machines[m];
                 (
-                    // What is kept stays kept, and what is there goes before what is on its way.
-                    self.misfit(job, m, false) + view.coming_s.map_or(0.0, |s| 1_000.0 + s)
-                        - if self.reserved[m].is_some() {
-                            2_000.0
-                        } else {
-                            0.0
+                    // What is there goes before what is on its way, and of each what is kept stays kept.
+                    self.misfit(job, m, false)
+                        + match (view.coming_s, self.reserved[m].is_some()) {
+                            (None, true) => -2_000.0,
+                            (None, false) => 0.0,
+                            (Some(s), true) => 2_000.0 + s,
+                            (Some(s), false) => 4_000.0 + s,
                         },
                     m,
                     room(view).holds(&j.task, need.min(view.slots)),
