--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -208,6 +208,12 @@
 /// Seconds a machine idles before it is given back where money counts; it is charged 60 s at least.
 pub const IDLE_RETURN_S: f64 = 25.0;
 
+/// Machines that may idle that long in any case, and part of the fleet (one in that many) that may besides.
+pub const IDLE_LEAST: usize = 4;
+/// See above.
+pub const IDLE_PART: usize = 24;
+/// Milliseconds a machine beyond those idles: its tasks' ends may just not be followed up yet.
+pub const IDLE_SURPLUS_MS: u64 = 4_000;
 /// Factor on that for spot machines: at a third of the price, room for what comes next is worth keeping.
 pub const IDLE_SPOT: f64 = 2.0;
 /// Factor on that for ordinary machines.
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -325,6 +325,15 @@
             0
         };
         let mut returns: Vec<(String, &'static str)> = Vec::new();
+        // A part of the fleet that idles serves what comes next as well as all of it would.
+        let idle = |m: &&Machine| m.synced && m.places.is_empty() && !m.returning;
+        let pool = IDLE_LEAST + self.machines.len() / IDLE_PART;
+        let mut surplus = self
+            .machines
+            .values()
+            .filter(idle)
+            .count()
+            .saturating_sub(pool);
         for (name, m) in &self.machines {
             if m.returning {
                 continue;
@@ -359,9 +368,16 @@
             } else if thrifty
                 && empty
                 && m.synced
-                && now > m.idle_since + idle_ms(m.spot)
+                && now
+                    > m.idle_since
+                        + if surplus > 0 {
+                            IDLE_SURPLUS_MS
+                        } else {
+                            idle_ms(m.spot)
+                        }
                 && !in_use(m)
             {
+                surplus = surplus.saturating_sub(1);
                 Some("idle")
             } else {
                 None
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -61,6 +61,11 @@
             } else {
                 secs * LONGEST_TASK
             };
+        // A deadline missed may still be met by half again, where an aim says so.
+        let times = |o: &crate::settings::Objective| match o.kind.as_str() {
+            "deadline" => o.times.filter(|t| *t > 1.0),
+            _ => None,
+        };
         let own = job.spec.due_s.map(|due| due - needs);
         let of_class =
             |o: &&crate::settings::Objective| o.class.as_deref() == Some(job.spec.class.as_str());
@@ -68,7 +73,7 @@
         let starts = aims.filter_map(|o| match (o.kind.as_str(), o.within_s) {
             ("wait", Some(s)) => Some(s - START_LAG_S),
             ("finished", Some(s)) => Some(s - needs),
-            _ => None,
+            _ => Some(job.spec.due_s? * times(o)? - needs),
         });
         let mut starts: Vec<f64> = starts.chain(own).collect();
         starts.sort_by(f64::total_cmp);
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -95,6 +95,9 @@
     /// Seconds.
     #[serde(default)]
     pub within_s: Option<f64>,
+    /// Of a deadline: how many times the job's own time it is.
+    #[serde(default)]
+    pub times: Option<f64>,
 }
 
 /// Workers' times in seconds.
