--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -127,6 +127,9 @@
 /// Milliseconds the answer to a worker with room waits for a task, well within the worker's patience of 4 s: a
 /// start reaches it at once meanwhile, instead of at its next report.
 pub const IDLE_HOLD_MS: u64 = 3_000;
+/// Share of a lease for which such an answer may wait where tasks run: it renews the lease, and a leader that is
+/// cut off just then costs the worker several seconds more.
+pub const HOLD_LEASE_SHARE: f64 = 1.0 / 12.0;
 /// Milliseconds a change of a job's record that nobody waits for may wait for one that somebody does.
 pub const LAZY_MS: u64 = 15_000;
 /// Milliseconds between steps of housekeeping (silent machines, fleet size).
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -71,9 +71,11 @@
             return Heard::Answer(ReportAnswer { term, orders });
         }
         let heard = m.last_report.is_some_and(|at| now.mono < at + 2 * lease_ms);
-        if m.token_seen && report.session > m.session && heard {
-            // Its lease ran out although we heard and answered it all along: answers do not reach it.
-            m.doubt(now.mono, "its lease ran out under our answers");
+        let short = now.mono < m.session_since + 2 * lease_ms;
+        if m.token_seen && report.session > m.session && heard && short {
+            // Lease after lease runs out although we hear and answer it: answers do not reach it. Once may happen
+            // to any worker whose leader is cut off.
+            m.doubt(now.mono, "its leases run out under our answers");
         }
         if report.session > m.session {
             m.session_since = now.mono;
@@ -105,7 +107,12 @@
         let before = self.machines.get(&name).map_or(0, |m| m.places.len());
         self.work_in(&report, now);
         let report_ms = (self.settings.deployment.workers.report_s * 1000.0) as u64;
-        let hold_ms = IDLE_HOLD_MS.min(report_ms);
+        // An answer held is a lease renewed later: where something runs, only a small part of the lease is spent.
+        let lease_ms = self.settings.deployment.workers.lease_s * 1000.0;
+        let hold_ms = match report.tasks.is_empty() {
+            true => IDLE_HOLD_MS.min(report_ms),
+            false => IDLE_HOLD_MS.min((lease_ms * HOLD_LEASE_SHARE) as u64),
+        };
         let after = self.machines.get(&name).map_or(0, |m| m.places.len());
         let held = Held {
             seq: (report.session, report.seq),
