Gangs that waited in vain rest for a while

A gang of more machines than there will ever be kept, stopped, rented and held idle machines for ever. After 300 s without a place nothing is gathered for it for as long, then again; room that is free anyway still goes to it. Story: capacity 4, gang of 6.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -164,6 +164,9 @@
 pub const REACH_COST: f64 = 2.0;
 /// Seconds before the latest start that still meets an aim at which a job goes ahead of the weighted sharing.
 pub const URGENT_S: f64 = 12.0;
+/// Seconds for which room is gathered for a gang, and then not: the largest are to begin within four minutes, and
+/// one that does not may need more than there will ever be.
+pub const GANG_TRY_S: u64 = 300;
 /// Part of the fleet (one in that many machines) that may be kept from filling up for gangs.
 pub const RESERVED_PART: usize = 3;
 /// Seconds a job waits without a single start until it goes ahead of the queues' weighted sharing, so that the
--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -293,6 +293,15 @@
         (secs / f64::from(timed.max(1)), timed)
     }
 
+    /// Whether it is a gang that has waited in vain for so long that it rests: what is kept, rented or stopped for
+    /// it, perhaps for ever, is needed by others. It is tried again after a while.
+    pub fn is_resting(&self, now_unix: u64) -> bool {
+        let age_s = now_unix.saturating_sub(self.at) / 1000;
+        // One that was placed before, perhaps by an earlier leader, can be again.
+        let idle = self.is_gang() && self.highest_attempt() == 0;
+        idle && age_s % (2 * constants::GANG_TRY_S) >= constants::GANG_TRY_S
+    }
+
     /// Whether it is over and may be filed away.
     pub fn final_due(&self) -> Option<Final> {
         // A user who was told "cancelled" must never hear "done", even if every task completes meanwhile.
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -143,7 +143,7 @@
             (self.operator.idle_return_s * 1000.0 * factor) as u64
         };
         let thrifty = self.settings.thrifty();
-        let wanted = self.wanted();
+        let wanted = self.wanted(mail.now);
         let in_use = |m: &Machine| wanted.iter().any(|w| w.suits(m));
         let up = self.machines.values().filter(|m| m.synced && !m.failed);
         let (mut all, mut silent) = (0, 0);
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -272,6 +272,7 @@
                     .iter()
                     .filter_map(|m| index.get(m.as_str()).copied())
                     .collect(),
+                resting: job.is_resting(now.unix),
                 aged: {
                     let begun = job.first_run.is_some() || job.placed > 0 || job.done > 0;
                     let age_s = now.unix.saturating_sub(job.at) as f64 / 1000.0;
--- a/crates/control/src/leader/thrift.rs
+++ b/crates/control/src/leader/thrift.rs
@@ -115,7 +115,7 @@
 
     /// What waits for machines, so that none is given back that the next round may need: the machines of a large
     /// gang come up one by one, and the first would otherwise be gone before the last is there.
-    pub(super) fn wanted(&self) -> Vec<Wanted> {
+    pub(super) fn wanted(&self, now: Now) -> Vec<Wanted> {
         let teams = &self.settings.deployment.teams;
         let mut used: HashMap<&str, Res> = HashMap::new();
         for job in self.jobs.values() {
@@ -143,6 +143,7 @@
             !job.aborted
                 && u64::from(job.placed) + job.done < job.spec.tasks
                 && job.fails == 0
+                && !job.is_resting(now.unix)
                 && !full(job)
         };
         let types = self.types.want.iter().flatten();
--- a/crates/control/tests/stories.rs
+++ b/crates/control/tests/stories.rs
@@ -778,3 +778,29 @@
     assert_eq!(started, 4, "each task once");
     clean(&w);
 }
+
+/// A gang that needs more machines than there will ever be must not hold what others need for ever.
+#[test]
+fn an_impossible_gang_neither_holds_machines_for_ever_nor_stops_others() {
+    let mut w = world(1, 0, 0.0);
+    w.capacity = 4;
+    let b = Behaviour {
+        gang: 6,
+        ..runs(5_000)
+    };
+    assert_eq!(w.submit(0, &gang("run-80", 6), b), 201);
+    w.run(60_000);
+    assert_eq!(w.submit(0, &array("run-81", 8), runs(4_000)), 201);
+    assert!(done(&mut w, "run-81", 60_000), "others go on");
+    assert!(
+        w.until(400_000, |w| w.workers.is_empty()),
+        "idle machines go back in the end"
+    );
+    assert_eq!(w.phase(0, "run-80"), Some(Phase::Queued), "and it is known");
+    w.capacity = 8;
+    assert!(
+        w.until(700_000, |w| w.phase(0, "run-80") == Some(Phase::Done)),
+        "tried again"
+    );
+    clean(&w);
+}
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -1,6 +1,6 @@
 //! How many machines of which type, zone and kind are wanted.
 
-use crate::{Res, View};
+use crate::{JobView, Res, View};
 use constants::RENT_MAX;
 
 /// A type of machine in a zone, spot or not.
@@ -76,7 +76,8 @@
         }
         return to_list(wishes);
     }
-    let waiting = || view.jobs.iter().filter(|j| !j.waiting.is_empty());
+    let wants = |j: &&JobView| !j.waiting.is_empty() && !j.resting;
+    let waiting = || view.jobs.iter().filter(wants);
     let Some(least) = waiting().map(|j| j.task).reduce(|a, b| Res {
         cpus: a.cpus.min(b.cpus),
         gpus: a.gpus.min(b.gpus),
@@ -123,7 +124,7 @@
     }
     let mut teams = view.teams.clone();
     let mut order: Vec<usize> = (0..view.jobs.len())
-        .filter(|&j| !view.jobs[j].waiting.is_empty())
+        .filter(|&j| wants(&&view.jobs[j]))
         .collect();
     order.sort_by_key(|&j| (!view.jobs[j].gang, view.jobs[j].order));
     for j in order {
@@ -264,7 +265,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::{JobView, MachineView, TeamView};
+    use crate::{MachineView, TeamView};
 
     /// Found by a story: room in two zones counted as enough for a gang that must stay in one, and machines were
     /// rented in a zone that its other tasks ruled out.
@@ -313,6 +314,7 @@
             avoid: vec![],
             kept: vec![],
             aged: false,
+            resting: false,
         };
         let offer = |zone| Offer {
             kind: 0,
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -151,6 +151,8 @@
     pub kept: Vec<usize>,
     /// Whether it has waited so long without a start that the queues' weights count no more.
     pub aged: bool,
+    /// A gang that has waited in vain for long: nothing is kept, stopped or rented for it for a while.
+    pub resting: bool,
 }
 
 /// A task on a machine that could be stopped.
--- a/crates/sched/src/round/room.rs
+++ b/crates/sched/src/round/room.rs
@@ -12,6 +12,13 @@
         if !j.gang && (pilot || j.sampling) {
             return;
         }
+        if j.resting {
+            self.reserved
+                .iter_mut()
+                .filter(|r| **r == Some(job))
+                .for_each(|r| *r = None);
+            return;
+        }
         let entitled = self.view.teams[j.team].entitles(&self.demand(job));
         if j.gang {
             if let Some(chosen) = self.gang_fit(job, |m| m.soon, true) {
--- a/crates/sched/src/round/tests.rs
+++ b/crates/sched/src/round/tests.rs
@@ -53,6 +53,7 @@
         avoid: vec![],
         kept: vec![],
         aged: false,
+        resting: false,
     }
 }
 
