--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -231,7 +231,14 @@
             } else {
                 Vec::new()
             };
-            let latest = self.latest_start(job, secs, now);
+            // A gang that lost its places by no fault of its own goes on with what it saved before others begin.
+            let lost =
+                job.is_gang() && job.placed == 0 && job.fails == 0 && job.highest_attempt() > 0;
+            let latest = if lost {
+                job.at
+            } else {
+                self.latest_start(job, secs, now)
+            };
             let todo = job.spec.tasks.saturating_sub(job.done) as f64;
             let policy = self.operator.policy();
             let wanted_pilots = pilots_of(&policy, job.tasks());
--- a/crates/control/tests/stories.rs
+++ b/crates/control/tests/stories.rs
@@ -804,3 +804,43 @@
     );
     clean(&w);
 }
+
+/// Found in a recorded day: a gang that a dead machine had ended waited behind jobs that had not begun.
+#[test]
+fn a_gang_that_lost_a_machine_goes_on_before_others_begin() {
+    // An aim that the others can still meet and this gang can't: its order alone would put it last.
+    let mut w = World::new(1, |i| {
+        let mut s = settings(i, 1, 0.0);
+        let aim = &mut s.deployment.objectives[0];
+        aim.kind = "finished".into();
+        (aim.class, aim.within_s) = (Some("c".into()), Some(150.0));
+        s
+    });
+    for m in 0..4 {
+        w.add_machine(&format!("vm-{m:06}"), "a");
+    }
+    w.run(6_000);
+    let b = Behaviour {
+        gang: 2,
+        ..runs(60_000)
+    };
+    let mut first = gang("run-90", 2);
+    first.guess_s = 290.0;
+    assert_eq!(w.submit(0, &first, b), 201);
+    assert!(w.until(8_000, |w| w.on_machines("run-90").len() == 2));
+    for n in 0..40 {
+        assert_eq!(
+            w.submit(0, &array(&format!("run-91{n:02}"), 4), runs(9_000)),
+            201
+        );
+    }
+    w.run(3_000);
+    let lost = w.on_machines("run-90")[0].0.clone();
+    w.workers.remove(&lost);
+    let again = |w: &mut World| w.on_machines("run-90").iter().filter(|p| p.2 > 1).count() == 2;
+    assert!(w.until(70_000, again), "a second attempt");
+    let begun = (0..40).filter(|n| w.phase(0, &format!("run-91{n:02}")) != Some(Phase::Queued));
+    let begun = begun.count();
+    assert!(begun < 6, "ahead of those that have not begun, {begun}");
+    clean(&w);
+}
