--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -1,4 +1,5 @@
-//! Machines: renting, adopting, giving back. Every rental and return is recorded before it is asked for.
+//! Machines: renting, adopting, giving back. Every rental is recorded before it is asked for; a return sent twice
+//! changes nothing and needs no record.
 
 use super::books::*;
 use super::thrift::CONSOLIDATED;
@@ -132,7 +133,7 @@
         ((boot * BOOT_PATIENCE + BOOT_PATIENCE_S) * 1000.0) as u64
     }
 
-    /// Decides which machines go back, and sends those whose return is recorded.
+    /// Decides which machines go back, and sends them back, as many at a time as the cloud takes.
     fn give_back(&mut self, mail: &mut Mail) {
         let now = mail.now.mono;
         let w = &self.settings.deployment.workers;
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -1,7 +1,8 @@
 //! The leader's books: open jobs, machines and rentals; the only place where tasks are placed.
 //!
 //! Everything recorded is level-triggered: memory holds what is wanted, transactions bring the store there, and
-//! nothing leaves the node (`launch`, `reap`, `done`, rental, return) before its record is known to be safe.
+//! nothing leaves the node (`launch`, `reap`, `done`, a rental) before its record is known to be safe. Machines have
+//! no records: their workers, the cloud's list and recent rental requests name them.
 
 mod books;
 mod fleet;
