Gangs take over what gangs behind them keep; late boots are told by those seen

Now a gang ahead in rank takes over machines that one behind it keeps, and a machine is late by what boots of its type took so far. Machines that are silent with nothing on them count as on their way where rentals are planned, and the list tells a new leader how old a machine is. Ruled out: the length of rounds, records.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -159,6 +159,8 @@
 pub const COMING_S: f64 = 10.0;
 /// Factor of a type's boot time after which a machine that is not up is no longer counted on by gangs.
 pub const BOOT_OVERDUE: f64 = 1.5;
+/// Boots of a type that must have been seen until what is late is told by them.
+pub const BOOTS_SEEN: f64 = 10.0;
 /// How much worse a machine is for each second until its next report, when a start can first be sent; see `misfit`
 /// in `sched` for what it is weighed against.
 pub const REACH_COST: f64 = 2.0;
--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -348,6 +348,29 @@
     }
 }
 
+/// Boot times of a type of machine, as they were seen: mean and spread.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Boots {
+    n: f64,
+    mean: f64,
+    squares: f64,
+}
+
+impl Boots {
+    pub fn add(&mut self, secs: f64) {
+        self.n += 1.0;
+        let off = secs - self.mean;
+        self.mean += off / self.n;
+        self.squares += off * (secs - self.mean);
+    }
+
+    /// Seconds after which a machine that is not up is none of the usual ones; nothing while few were seen.
+    pub fn late_s(&self) -> Option<f64> {
+        let spread = (self.squares / self.n.max(1.0)).sqrt();
+        (self.n >= constants::BOOTS_SEEN).then_some(self.mean + 2.0 * spread + 1.0)
+    }
+}
+
 /// A machine.
 #[derive(Debug, Clone)]
 pub(crate) struct Machine {
@@ -378,6 +401,8 @@
     pub stops: bool,
     /// The cloud has named or listed it, so that it may be counted on.
     pub expected: bool,
+    /// We rented it ourselves, so that its age is known.
+    pub rented: bool,
     /// When its present session was first heard of.
     pub session_since: u64,
     /// Starts in a row that were sent in answers and not taken.
@@ -423,6 +448,7 @@
             missing_lists: 0,
             stops: false,
             expected: false,
+            rented: false,
             session_since: now,
             unheard: 0,
             doubted: None,
@@ -460,3 +486,25 @@
         self.pace.1 >= 2 && self.pace.0 / f64::from(self.pace.1) > constants::SLOW_FACTOR
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Gangs waited for machines of which one in ten takes several times as long as the others.
+    #[test]
+    fn a_boot_is_late_by_what_was_seen_of_its_type() {
+        let mut boots = Boots::default();
+        for _ in 0..9 {
+            boots.add(45.0);
+        }
+        assert_eq!(boots.late_s(), None, "too few");
+        boots.add(45.0);
+        assert_eq!(boots.late_s(), Some(46.0));
+        for n in 0..40 {
+            boots.add(if n % 2 == 0 { 35.0 } else { 55.0 });
+        }
+        let late = boots.late_s().expect("seen");
+        assert!((60.0..66.0).contains(&late), "{late}");
+    }
+}
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// Milliseconds without a report after which a machine is silent.
+    pub(super) fn silent_ms(&self) -> u64 {
+        (self.settings.deployment.workers.report_s * 2500.0) as u64 + 500
+    }
+
     fn patience_ms(&self, kind: &str) -> u64 {
         let boot = self
             .types
@@ -138,7 +143,7 @@
         let now = mail.now.mono;
         let w = &self.settings.deployment.workers;
         let lapse_ms = (w.lease_s * 1000.0 * DRIFT) as u64 + LEASE_MARGIN_MS;
-        let silent_ms = (w.report_s * 2500.0) as u64 + 500;
+        let silent_ms = self.silent_ms();
         // Machines that have stopped are listed as failed before long. What is silent for longer is cut off or hangs,
         // and mostly comes back with its images sooner than another machine would be up: where nothing runs on it
         // any more, it has time.
@@ -326,8 +331,14 @@
             }
         }
         let mut coming = vec![0; offers.len()];
+        let silent_ms = self.silent_ms();
         for m in self.machines.values() {
-            if m.known && m.expected && !m.synced && !m.failed && !m.returning {
+            let booting = m.expected && !m.synced;
+            // Cut off or hanging, most likely: it is back before another would be up.
+            let away = m.synced
+                && m.places.is_empty()
+                && m.last_report.is_some_and(|at| now.mono > at + silent_ms);
+            if m.known && (booting || away) && !m.failed && !m.returning {
                 let key = (m.kind.clone(), m.zone.clone(), m.spot);
                 if let Some(i) = keys.iter().position(|k| *k == key) {
                     coming[i] += 1;
@@ -488,6 +499,7 @@
                         .or_insert_with(|| Machine::new(now.mono));
                     m.describe(&rent.kind, &rent.zone, rent.spot);
                     m.expected = true;
+                    m.rented = m.last_report.is_none() && !m.listed;
                 }
             }
             CloudReply::NoCapacity | CloudReply::Invalid => {
@@ -517,10 +529,11 @@
         if self.gone.contains_key(&listed.id) {
             return;
         }
+        let age_ms = (listed.age_s.max(0.0) * 1000.0) as u64;
         let m = self
             .machines
             .entry(listed.id.clone())
-            .or_insert_with(|| Machine::new(now.mono));
+            .or_insert_with(|| Machine::new(now.mono.saturating_sub(age_ms)));
         m.describe(&listed.kind, &listed.zone, listed.spot);
         if m.addr.is_none() {
             m.addr = listed.addr.clone();
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -130,6 +130,8 @@
     machines: BTreeMap<String, Machine>,
     /// Machines that are certainly gone, with the time that was learnt.
     gone: HashMap<String, u64>,
+    /// Boot times seen in this term, by type.
+    boots: HashMap<String, Boots>,
     rentals: BTreeMap<String, Rental>,
     types: Cell<Vec<MachineType>>,
     pages: BTreeMap<u32, pages::Page>,
@@ -206,6 +208,7 @@
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             gone: HashMap::new(),
+            boots: HashMap::new(),
             rentals: BTreeMap::new(),
             types: Cell::new(None, 0),
             pages: BTreeMap::new(),
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -87,7 +87,7 @@
 
     /// Whether tasks may be sent to a machine.
     pub(super) fn usable(&self, m: &Machine, now: u64) -> bool {
-        let silent_ms = (self.settings.deployment.workers.report_s * 2500.0) as u64 + 500;
+        let silent_ms = self.silent_ms();
         m.known
             && m.synced
             && m.draining.is_none()
@@ -158,7 +158,9 @@
                 coming_s: {
                     let age = now.mono.saturating_sub(m.first_known) as f64 / 1000.0;
                     let coming = m.expected && !m.synced && !m.failed && !m.returning;
-                    (coming && m.places.is_empty() && age < t.boot_s * BOOT_OVERDUE)
+                    let seen = self.boots.get(&m.kind).and_then(Boots::late_s);
+                    let late_s = seen.unwrap_or(t.boot_s * BOOT_OVERDUE);
+                    (coming && m.places.is_empty() && age < late_s)
                         .then(|| (t.boot_s - age).max(0.0))
                 },
             });
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -205,6 +205,12 @@
         if !m.synced {
             m.synced = true;
             self.plan_due = true;
+            let boot_s = now.mono.saturating_sub(m.first_known) as f64 / 1000.0;
+            let kind = self.types.want.iter().flatten().find(|t| t.name == m.kind);
+            // Of those that take several times as long, nothing is learnt for the usual ones.
+            if m.rented && kind.is_some_and(|t| boot_s < t.boot_s * BOOT_OVERDUE) {
+                self.boots.entry(m.kind.clone()).or_default().add(boot_s);
+            }
             log::info!(
                 "event=worker_known machine={name} kind={} zone={} spot={} tasks={}",
                 report.kind,
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -387,6 +387,21 @@
         self.reserved[machine].is_none_or(|holder| holder == job)
     }
 
+    /// Gangs that have kept machines and rank behind this one, which may take them over. Otherwise each large gang
+    /// sits on most of what it needs, waiting for its last machine, while all of them together hold enough for
+    /// some to begin.
+    fn behind(&self, job: usize) -> Vec<bool> {
+        let mut behind = vec![false; self.view.jobs.len()];
+        let mine = (self.rank(job), job);
+        let mut holders: Vec<usize> = self.reserved.iter().flatten().copied().collect();
+        holders.sort_unstable();
+        holders.dedup();
+        for holder in holders {
+            behind[holder] = mine < (self.rank(holder), holder);
+        }
+        behind
+    }
+
     /// How well a machine suits a task of the job, smaller is better.
     fn misfit(&self, job: usize, machine: usize, pilot: bool) -> f64 {
         let (j, m) = (&self.view.jobs[job], &self.view.machines[machine]);
@@ -459,20 +474,24 @@
     ) -> Option<Vec<usize>> {
         let j = &self.view.jobs[job];
         let need = self.left(job) as u32;
+        let behind = self.behind(job);
+        let open = |m: usize| self.reserved[m].is_none_or(|holder| holder == job || behind[holder]);
         let mut spots: Vec<(f64, usize, u32)> = (0..self.view.machines.len())
             .filter(|&m| room(&self.view.machines[m]).fits(&j.task))
-            .filter(|&m| self.open_to(job, m))
+            .filter(|&m| open(m))
             .filter(|&m| self.allowed(job, m) || soon && self.allowed_soon(job, m))
             .map(|m| {
                 let view = &self.view.machines[m];
                 (
                     // What is there goes before what is on its way, and of each what is kept stays kept.
                     self.misfit(job, m, false)
-                        + match (view.coming_s, self.reserved[m].is_some()) {
-                            (None, true) => -2_000.0,
-                            (None, false) => 0.0,
-                            (Some(s), true) => 2_000.0 + s,
-                            (Some(s), false) => 4_000.0 + s,
+                        + match (view.coming_s, self.reserved[m]) {
+                            (None, Some(holder)) if holder == job => -2_000.0,
+                            (None, None) => 0.0,
+                            (None, Some(_)) => 1_000.0,
+                            (Some(s), Some(holder)) if holder == job => 2_000.0 + s,
+                            (Some(s), None) => 4_000.0 + s,
+                            (Some(s), Some(_)) => 6_000.0 + s,
                         },
                     m,
                     room(view).holds(&j.task, need.min(view.slots)),
@@ -546,6 +565,7 @@
                 .collect();
             for &(_, machine) in &tasks {
                 self.take(job, machine, false);
+                self.reserved[machine] = None;
             }
             for r in self.reserved.iter_mut().filter(|r| **r == Some(job)) {
                 *r = None;
--- a/crates/sched/src/round/tests.rs
+++ b/crates/sched/src/round/tests.rs
@@ -325,3 +325,26 @@
     });
     assert_eq!((placed(&cut.decisions, 0).len(), cut.finished), (4, false));
 }
+
+/// Each of many large gangs sat on most of what it needed, a quarter of a fleet idle between them.
+#[test]
+fn a_gang_takes_over_what_gangs_behind_it_keep_and_begins() {
+    let (mut first, mut second) = (job(1, true, 2, 4.0), job(2, true, 2, 4.0));
+    first.kept = vec![0, 2];
+    second.kept = vec![1, 3];
+    let mut coming = machine(0, 4.0);
+    coming.usable = false;
+    coming.coming_s = Some(5.0);
+    let view = View {
+        machines: vec![machine(0, 4.0), machine(0, 4.0), coming.clone(), coming],
+        teams: vec![TeamView::default()],
+        jobs: vec![first, second],
+        running: vec![],
+    };
+    let d = decide(view);
+    assert_eq!(placed(&d, 0), vec![(0, 0), (1, 1)]);
+    assert!(placed(&d, 1).is_empty());
+    let keeps =
+        |d: &Decision| matches!(d, Decision::Keep { job: 1, machines } if machines == &[2, 3]);
+    assert!(d.iter().any(keeps), "the other waits for what is coming");
+}
