--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -308,7 +308,8 @@
         match (&ticket.stage, reply) {
             (Stage::Creating, StateReply::Committed { version }) => {
                 if let Some(t) = self.tickets.remove(&number) {
-                    log::info!("event=job_accepted job={}", t.id);
+                    let took_ms = mail.now.mono.saturating_sub(t.since);
+                    log::info!("event=job_accepted job={} took_ms={took_ms}", t.id);
                     self.remember_version(&t.id, version, false);
                     mail.respond(t.request, 201, status_body(&t.id, Phase::Queued, None));
                 }
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -156,8 +156,8 @@
             (self.operator.idle_return_s * 1000.0 * factor) as u64
         };
         let thrifty = self.settings.thrifty();
-        let wanted = self.wanted(mail.now);
-        let in_use = |m: &Machine| wanted.iter().any(|w| w.suits(m));
+        let mut wanted = self.wanted(mail.now);
+        let mut in_use = |m: &Machine| wanted.iter_mut().any(|w| w.takes(m));
         let mut returns: Vec<(String, &'static str)> = Vec::new();
         // A part of the fleet that idles serves what comes next as well as all of it would.
         let idle = |m: &&Machine| m.synced && m.places.is_empty() && !m.returning;
--- a/crates/control/src/leader/thrift.rs
+++ b/crates/control/src/leader/thrift.rs
@@ -9,11 +9,18 @@
     kind: String,
     zone: String,
     spot: bool,
+    /// How many of them all that work fills.
+    machines: usize,
 }
 
 impl Wanted {
-    pub(super) fn suits(&self, m: &Machine) -> bool {
-        self.kind == m.kind && self.zone == m.zone && self.spot == m.spot
+    /// Whether the machine is one of these. Each is counted once: a few waiting tasks are no reason to keep all
+    /// the machines they could use.
+    pub(super) fn takes(&mut self, m: &Machine) -> bool {
+        let suits = self.kind == m.kind && self.zone == m.zone && self.spot == m.spot;
+        let takes = suits && self.machines > 0;
+        self.machines -= usize::from(takes);
+        takes
     }
 }
 
@@ -152,7 +159,7 @@
         for t in types {
             for zone in &t.zones {
                 for spot in [false, true] {
-                    let useful = jobs.iter().any(|j| {
+                    let suits = |j: &&&Job| {
                         let s = &j.spec;
                         (s.spot || !spot)
                             && s.zone.as_ref().is_none_or(|z| z == zone)
@@ -160,12 +167,23 @@
                             && s.cpus <= t.cpus
                             && s.gpus <= t.gpus
                             && s.mem_gb <= t.mem_gb
-                    });
-                    if useful {
+                    };
+                    let total = Res {
+                        cpus: t.cpus,
+                        gpus: t.gpus,
+                        mem: t.mem_gb,
+                    };
+                    let filled = |j: &&Job| {
+                        let waiting = (j.spec.tasks - j.done) as u32 - j.placed;
+                        waiting.div_ceil(total.holds(&j.res(), waiting).max(1)) as usize
+                    };
+                    let machines = jobs.iter().filter(suits).map(filled).sum();
+                    if machines > 0 {
                         wanted.push(Wanted {
                             kind: t.name.clone(),
                             zone: zone.clone(),
                             spot,
+                            machines,
                         });
                     }
                 }
--- a/crates/control/tests/stories.rs
+++ b/crates/control/tests/stories.rs
@@ -633,6 +633,29 @@
     clean(&w);
 }
 
+/// A few waiting tasks kept every idle machine that they could have used, a fifth of a large fleet.
+#[test]
+fn waiting_work_keeps_as_many_idle_machines_as_it_fills() {
+    let mut w = World::new(1, |i| settings(i, 1, 0.0));
+    w.capacity = 0;
+    for m in 0..24 {
+        w.add_machine(&format!("vm-{m:06}"), "a");
+    }
+    w.run(6_000);
+    // Half of it must be in the other zone, where there is nothing to be had.
+    let mut apart = gang("run-37", 4);
+    (apart.one_zone, apart.spread) = (false, true);
+    assert_eq!(w.submit(0, &apart, runs(5_000)), 201);
+    for _ in 0..400 {
+        w.run(100);
+        w.capacity = 0;
+    }
+    let left = w.workers.len();
+    assert!((4..=8).contains(&left), "{left} machines are kept");
+    assert_eq!(w.phase(0, "run-37"), Some(Phase::Queued));
+    clean(&w);
+}
+
 #[test]
 fn rounds_cut_short_by_their_budget_go_on_where_they_stopped() {
     use std::sync::atomic::{AtomicU64, Ordering};
