--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -34,6 +34,9 @@
     held: Vec<(RequestId, Held)>,
     /// Reports that came while no leader was known.
     limbo: Vec<(RequestId, Vec<u8>, u64)>,
+    /// How many of them at a time: as many as workers may be connected.
+    limbo_most: usize,
+    next_limbo: u64,
     peers: Peers,
     /// Number of this process, and cancellations it has confirmed.
     boot: u64,
@@ -84,6 +87,8 @@
             leader: None,
             held: Vec::new(),
             limbo: Vec::new(),
+            limbo_most: d.quota.max_connections,
+            next_limbo: 0,
             peers: Peers::new(settings.siblings.iter().map(|s| s.label.clone())),
             boot,
             aborts: 0,
@@ -379,7 +384,7 @@
             }
             return;
         }
-        if self.election.leader_label(now.mono).is_none() && self.limbo.len() < LIMBO_REPORTS {
+        if self.election.leader_label(now.mono).is_none() && self.limbo.len() < self.limbo_most {
             self.limbo.push((id, body.to_vec(), now.mono));
             return;
         }
@@ -415,6 +420,10 @@
         }
         let now = mail.now.mono;
         let known = self.election.leader_label(now).is_some();
+        if !known && now < self.next_limbo {
+            return;
+        }
+        self.next_limbo = now + LIMBO_LOOK_MS;
         for (id, body, since) in std::mem::take(&mut self.limbo) {
             if self.leader.is_some() {
                 self.on_report(id, &body, mail);
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -128,7 +128,7 @@
         let users = write_rps * USER_WRITE_SHARE;
         StateClient {
             requests: Bucket::new(share, share * 0.5),
-            user_writes: Bucket::new(users, users),
+            user_writes: Bucket::new(users, write_rps * USER_WRITE_BURST),
             book_writes: Bucket::new(books, books * 0.5),
             queues: Default::default(),
             inflight: HashMap::new(),
@@ -232,7 +232,12 @@
                 if !matches!(op, StateOp::Watch { .. }) && !limited {
                     self.last_bad = now.mono;
                 }
-                self.paused_until = now.mono + STATE_RETRY_MS;
+                let pause = if limited {
+                    RATE_RETRY_MS
+                } else {
+                    STATE_RETRY_MS
+                };
+                self.paused_until = now.mono + pause;
             }
             _ => self.last_good = now.mono,
         }
--- a/crates/vetchmount/src/daemon.rs
+++ b/crates/vetchmount/src/daemon.rs
@@ -6,7 +6,7 @@
 use constants::*;
 use control::{Input, Node, Now, Operator, Output, Settings, Target};
 use polling::{Events, Poller};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use wire::peers::{decode_frame, encode_frame, PeerMessage};
@@ -41,6 +41,8 @@
     back: Listener,
     servers: Servers,
     clients: Clients,
+    /// Workers' reports that wait until users and the leader's lease have been served.
+    reports: VecDeque<Arrived>,
     peers: HashMap<usize, PeerLink>,
     siblings: Vec<Sibling>,
     next_key: usize,
@@ -58,8 +60,10 @@
 /// Runs until the process is killed.
 pub fn run(settings: Settings, operator: Operator) -> Result<(), String> {
     let poller = Poller::new().map_err(|e| format!("poller: {e}"))?;
+    // When a leader falls, all workers connect anew within a second or two.
+    let backlog = settings.deployment.quota.max_connections as i32;
     let bind = |addr: &str, key| {
-        Listener::bind(&poller, address(addr)?, key).map_err(|e| format!("{addr}: {e}"))
+        Listener::bind(&poller, address(addr)?, key, backlog).map_err(|e| format!("{addr}: {e}"))
     };
     let public = bind(&settings.public_addr, PUBLIC)?;
     let back = bind(&settings.back, BACK)?;
@@ -96,6 +100,7 @@
         back,
         servers: Servers::new(limit as usize),
         clients: Clients::default(),
+        reports: VecDeque::new(),
         peers: HashMap::new(),
         siblings,
         next_key: FIRST_CONN,
@@ -128,14 +133,17 @@
     }
 
     fn serve(mut self) -> Result<(), String> {
-        let mut events = Events::new();
+        let mut events = Events::with_capacity(EVENTS_A_TURN);
         let mut buf = vec![0u8; READ_CHUNK];
         let mut arrived = Vec::new();
         let mut done = Vec::new();
         loop {
             let now = self.now().mono;
             let wake = self.node.next_wake().min(self.clients.next_wake());
-            let wait = wake.saturating_sub(now).min(LOOP_MAX_MS);
+            let wait = match self.reports.is_empty() {
+                true => wake.saturating_sub(now).min(LOOP_MAX_MS),
+                false => 0,
+            };
             events.clear();
             self.poller
                 .wait(&mut events, Some(Duration::from_millis(wait)))
@@ -152,6 +160,11 @@
             }
             self.mind_siblings(now.mono);
             self.feed(now, &mut arrived, &mut done);
+            self.feed_reports(&mut arrived, &mut done);
+            let took_ms = self.now().mono.saturating_sub(now.mono);
+            if took_ms >= SLOW_TURN_MS {
+                log::info!("event=slow_turn took_ms={took_ms} events={}", events.len());
+            }
         }
     }
 
@@ -164,7 +177,11 @@
         done: &mut Vec<Outcome>,
     ) {
         if key == PUBLIC {
-            while let Some(stream) = self.public.accept() {
+            // What is left is told again in the next turn.
+            for _ in 0..ACCEPTS_A_TURN {
+                let Some(stream) = self.public.accept() else {
+                    break;
+                };
                 let key = self.new_key();
                 if let Ok(conn) = Conn::new(&self.poller, stream, key, false) {
                     self.servers.add(&self.poller, conn, key, now);
@@ -196,21 +213,11 @@
     fn feed(&mut self, now: Now, arrived: &mut Vec<Arrived>, done: &mut Vec<Outcome>) {
         loop {
             for a in std::mem::take(arrived) {
-                let http::Request {
-                    method,
-                    target,
-                    body,
-                    ..
-                } = a.request;
-                self.node.handle(
-                    now,
-                    Input::Request {
-                        id: a.id,
-                        method,
-                        target,
-                        body,
-                    },
-                );
+                if a.worker {
+                    self.reports.push_back(a);
+                } else {
+                    self.request(now, a);
+                }
             }
             for (call, result) in std::mem::take(done) {
                 self.node.handle(now, Input::Reply { call, result });
@@ -222,6 +229,40 @@
         }
     }
 
+    fn request(&mut self, now: Now, arrived: Arrived) {
+        let Arrived { id, request, .. } = arrived;
+        let http::Request {
+            method,
+            target,
+            body,
+            ..
+        } = request;
+        let input = Input::Request {
+            id,
+            method,
+            target,
+            body,
+        };
+        self.node.handle(now, input);
+    }
+
+    /// Gives the node workers' reports for a while. The storm of them after a change of leader would otherwise keep
+    /// users, the load balancer and the renewal of the lease waiting for seconds.
+    fn feed_reports(&mut self, arrived: &mut Vec<Arrived>, done: &mut Vec<Outcome>) {
+        let until = self.now().mono + REPORTS_A_TURN_MS;
+        while let Some(report) = self.reports.pop_front() {
+            let now = self.now();
+            // The worker may have given up meanwhile.
+            if self.servers.is_open(report.id) {
+                self.request(now, report);
+                self.feed(now, arrived, done);
+            }
+            if now.mono >= until {
+                return;
+            }
+        }
+    }
+
     fn carry_out(&mut self, now: Now, arrived: &mut Vec<Arrived>, done: &mut Vec<Outcome>) {
         while let Some(output) = self.node.next_output() {
             match output {
--- a/crates/vetchmount/src/net.rs
+++ b/crates/vetchmount/src/net.rs
@@ -137,11 +137,11 @@
 impl Listener {
     /// Listens.
     #[allow(unsafe_code)]
-    pub fn bind(poller: &Poller, addr: SocketAddrV4, key: usize) -> io::Result<Self> {
+    pub fn bind(poller: &Poller, addr: SocketAddrV4, key: usize, backlog: i32) -> io::Result<Self> {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
         socket.bind(&SockAddr::from(addr))?;
-        socket.listen(1024)?;
+        socket.listen(backlog)?;
         socket.set_nonblocking(true)?;
         let inner: TcpListener = socket.into();
         // SAFETY: listeners live as long as the poller.
--- a/crates/vetchmount/src/servers.rs
+++ b/crates/vetchmount/src/servers.rs
@@ -23,6 +23,8 @@
     pub id: u64,
     /// What was asked.
     pub request: http::Request,
+    /// Whether it is a worker's report.
+    pub worker: bool,
 }
 
 /// All connections of callers.
@@ -118,12 +120,14 @@
             Ok(None) => {}
             Ok(Some(request)) => {
                 self.next_request += 1;
-                s.worker |= request.target == "/v1/report";
+                let worker = request.target == "/v1/report";
+                s.worker |= worker;
                 s.open = Some((self.next_request, request.close));
                 self.by_request.insert(self.next_request, key);
                 arrived.push(Arrived {
                     id: self.next_request,
                     request,
+                    worker,
                 });
             }
             Err(why) => {
@@ -142,6 +146,11 @@
         }
     }
 
+    /// Whether the caller still waits for the answer to a request.
+    pub fn is_open(&self, request: u64) -> bool {
+        self.by_request.contains_key(&request)
+    }
+
     /// Answers a request; may hand out the next one of its connection.
     pub fn respond(
         &mut self,
