A gang whose image takes longer than its tasks wait lets the fetches end

Now the rest of such a gang is left alone while any of it fetches, and the next attempt finds the image there. The story fails without the change.

--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -115,6 +115,8 @@
     /// Gang: its present attempt has run, or can't be completed any more.
     pub started: bool,
     pub broken: bool,
+    /// Gang: some of its tasks waited in vain for others that are still fetching the image.
+    pub alone: bool,
     pub fails: u32,
     pub fail_machines: BTreeSet<String>,
     pub pause_until: u64,
@@ -139,6 +141,7 @@
             inflight: false,
             started: false,
             broken: false,
+            alone: false,
             fails: 0,
             fail_machines: BTreeSet::new(),
             pause_until: 0,
@@ -268,6 +271,7 @@
         if self.placed == 0 {
             self.started = false;
             self.broken = false;
+            self.alone = false;
         }
         Some(place)
     }
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -422,7 +422,10 @@
             Cause::NoRoom | Cause::Busy | Cause::Unknown => {
                 job.pause_until = job.pause_until.max(now.mono + ERROR_PAUSE_MS / 2);
             }
-            Cause::Alone | Cause::Peers if gang => job.broken = true,
+            Cause::Alone | Cause::Peers if gang => {
+                job.broken = true;
+                job.alone |= cause == Cause::Alone && !job.started;
+            }
             _ => {}
         }
         if gang && cause != Cause::Done {
--- a/crates/control/src/leader/watch.rs
+++ b/crates/control/src/leader/watch.rs
@@ -97,6 +97,12 @@
                 continue;
             }
             let stopping = job.places().find_map(|(_, p)| p.stop);
+            // A fetch that takes longer than the others wait must come to its end: given up, it would begin anew
+            // with every attempt, and the gang would never start.
+            let fetches = |p: &Place| p.phase == Some(TaskPhase::Fetching);
+            if job.alone && stopping.is_none() && job.places().any(|(_, p)| fetches(p)) {
+                continue;
+            }
             if job.broken || stopping.is_some() {
                 // An orderly stop goes to all; after a loss there is nothing left to save.
                 let grace = match stopping {
--- a/crates/control/tests/stories.rs
+++ b/crates/control/tests/stories.rs
@@ -570,6 +570,23 @@
     clean(&w);
 }
 
+/// Each attempt gave up the fetches that the last one had nearly done, for as long as the day lasted.
+#[test]
+fn a_gang_whose_image_takes_longer_than_its_tasks_wait_begins_with_its_second_attempt() {
+    let mut w = world(1, 4, 0.0);
+    w.capacity = 0;
+    let slow = Behaviour {
+        gang: 2,
+        fetch_ms: 45_000,
+        ..runs(5_000)
+    };
+    let has = w.workers.get_mut("vm-000000").expect("machine");
+    has.images.insert("run-38".into());
+    assert_eq!(w.submit(0, &gang("run-38", 2), slow), 201);
+    assert!(done(&mut w, "run-38", 75_000));
+    clean(&w);
+}
+
 #[test]
 fn a_team_stays_within_its_limit_through_recovery() {
     let mut w = world(3, 3, 4.0);
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -1,6 +1,6 @@
 //! A worker, as the protocol page describes it: tokens, lease, commands, gangs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use wire::workers::*;
 
 /// A task on a fake machine.
@@ -61,6 +61,8 @@
     pub lose_answers: u32,
     /// Its reports arrive, but neither answers nor commands reach it.
     pub one_way: bool,
+    /// Jobs whose image it has.
+    pub images: BTreeSet<String>,
     /// Attempts started on this machine, in order.
     pub started: Vec<(String, u64)>,
 }
@@ -84,6 +86,7 @@
             taken_at: None,
             lose_answers: 0,
             one_way: false,
+            images: BTreeSet::new(),
             started: Vec::new(),
         }
     }
@@ -150,7 +153,11 @@
                         _ => None,
                     };
                     let (phase, next_at) = match b {
-                        Some(b) if refused.is_none() => (TaskPhase::Fetching, now + b.fetch_ms),
+                        Some(b) if refused.is_none() => {
+                            let has = self.images.contains(job_of(task));
+                            let fetch_ms = if has { 0 } else { b.fetch_ms };
+                            (TaskPhase::Fetching, now + fetch_ms)
+                        }
                         _ => (TaskPhase::Ended, u64::MAX),
                     };
                     if refused.is_none() {
@@ -214,6 +221,7 @@
             match t.phase {
                 TaskPhase::Fetching if now >= t.next_at => {
                     changed = true;
+                    self.images.insert(job_of(name).to_string());
                     if b.fails {
                         end(t, Cause::Error);
                     } else if b.gang > 0 {
@@ -225,8 +233,7 @@
                     }
                 }
                 TaskPhase::Waiting => {
-                    let job = name.split('/').next().unwrap_or_default();
-                    if gathered(job, *attempt, b.gang) {
+                    if gathered(job_of(name), *attempt, b.gang) {
                         changed = true;
                         t.phase = TaskPhase::Running;
                         t.next_at = now + b.run_ms;
@@ -252,6 +259,10 @@
     }
 }
 
+fn job_of(task: &str) -> &str {
+    task.split('/').next().unwrap_or_default()
+}
+
 fn end(t: &mut FakeTask, cause: Cause) {
     t.phase = TaskPhase::Ended;
     t.cause = Some(cause);
