Watches that keep failing are replaced by reading all open jobs

A watch's answer has no size limit, while ours has one to read: a leader that once met a larger one would have asked for it again for ever and seen no job any more.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -44,6 +44,8 @@
 /// Milliseconds a watch is held open by the state service. Short, since a watch whose connection died silently
 /// hides aborts until it times out: hold and timeout together stay below `KEEPALIVE_MARGIN_MS`.
 pub const WATCH_HOLD_MS: u64 = 3_000;
+/// Watches that fail in a row until all is read anew, page by page.
+pub const WATCH_TRIES: u32 = 4;
 /// Milliseconds to wait after an answer of 429 or 503 before asking the state service again.
 pub const STATE_RETRY_MS: u64 = 250;
 /// Milliseconds without any good answer, the last one bad, after which users are refused at once.
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -140,6 +140,8 @@
     watch_from: u64,
     watch_open: bool,
     watch_retry_at: u64,
+    /// Watches that failed in a row.
+    watch_fails: u32,
     // Store.
     dirty: BTreeSet<Dirty>,
     dirty_order: VecDeque<Dirty>,
@@ -216,6 +218,7 @@
             watch_from: 0,
             watch_open: false,
             watch_retry_at: 0,
+            watch_fails: 0,
             dirty: BTreeSet::new(),
             dirty_order: VecDeque::new(),
             flights: HashMap::new(),
@@ -449,25 +452,41 @@
         self.watch_open = false;
         match reply {
             StateReply::Changes(changes) => {
+                self.watch_fails = 0;
                 for change in changes.events {
                     self.on_change(change, mail);
                 }
                 self.watch_from = self.watch_from.max(changes.revision);
                 self.tick(false, mail);
             }
-            StateReply::TooOld => {
-                log::info!("event=watch_too_old from={}", self.watch_from);
-                self.watch_open = true;
-                let op = StateOp::List {
-                    prefix: JOBS,
-                    from: String::new(),
-                };
-                self.ask(Priority::Books, op, Ask::Resync, mail);
+            StateReply::TooOld => self.resync(mail),
+            _ => {
+                self.watch_fails += 1;
+                self.watch_retry_at = mail.now.mono + STATE_RETRY_MS;
+                // Its answer has no size limit: one too large to be read would come again and again.
+                if self.watch_fails >= WATCH_TRIES {
+                    self.resync(mail);
+                }
             }
-            _ => self.watch_retry_at = mail.now.mono + STATE_RETRY_MS,
         }
     }
 
+    /// Reads all open jobs again instead of what has changed.
+    fn resync(&mut self, mail: &mut Mail) {
+        log::info!(
+            "event=resync from={} fails={}",
+            self.watch_from,
+            self.watch_fails
+        );
+        self.watch_fails = 0;
+        self.watch_open = true;
+        let op = StateOp::List {
+            prefix: JOBS,
+            from: String::new(),
+        };
+        self.ask(Priority::Books, op, Ask::Resync, mail);
+    }
+
     /// The watch had fallen too far behind: all open jobs are read again, page by page.
     fn on_resync(&mut self, reply: StateReply, mail: &mut Mail) {
         let StateReply::Page(page) = reply else {
--- a/crates/control/tests/stories.rs
+++ b/crates/control/tests/stories.rs
@@ -587,6 +587,18 @@
     clean(&w);
 }
 
+/// A watch has no size limit: one that can't be read would be asked for again for ever.
+#[test]
+fn jobs_are_seen_though_every_watch_fails() {
+    let mut w = world(2, 2, 0.0);
+    w.break_watches = true;
+    w.run(5_000);
+    let other = follower(&w);
+    assert_eq!(w.submit(other, &array("run-39", 2), runs(2_000)), 201);
+    assert!(w.until(20_000, |w| w.phase(other, "run-39") == Some(Phase::Done)));
+    clean(&w);
+}
+
 #[test]
 fn a_team_stays_within_its_limit_through_recovery() {
     let mut w = world(3, 3, 4.0);
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -68,6 +68,8 @@
     /// Of every so many transactions one is not answered (0: all are); every second of those is not executed.
     pub lose_txns: u64,
     txns: u64,
+    /// Watches break: what they would tell can't be read.
+    pub break_watches: bool,
     /// Workers by machine name.
     pub workers: BTreeMap<String, FakeWorker>,
     /// Machines the cloud still has.
@@ -147,6 +149,7 @@
             late_txns: BTreeMap::new(),
             lose_txns: 0,
             txns: 0,
+            break_watches: false,
             workers: BTreeMap::new(),
             capacity: 0,
             rented: BTreeMap::new(),
@@ -454,6 +457,8 @@
                     let again = Event::ToState(usize::MAX, life, call, method, path, body);
                     self.push(self.now + late, again);
                     Some(Err(CallError::Unknown))
+                } else if self.break_watches && path == "/changes" {
+                    Some(Err(CallError::Unknown))
                 } else if lost && i != usize::MAX {
                     if self.txns.is_multiple_of(2 * self.lose_txns) {
                         self.state.serve(self.now, (i, call), method, &path, &body);
