A leader that is cut off no longer turns as fast as it can

A round was due and never made, since its lease had run out, while the next wake was the round's. Ruled out: memory (12.9 of 208 MB), sockets (1,870 of 3,593).

--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -300,7 +300,9 @@
         self.flush(mail);
     }
 
-    pub fn next_wake(&self) -> u64 {
+    /// When [`Leader::tick`] wants to be called. A round that is due waits for `active`: a leader that was cut off
+    /// used up a whole core by asking for it over and over.
+    pub fn next_wake(&self, active: bool) -> u64 {
         if !self.is_ready() {
             return if self.load_busy {
                 u64::MAX
@@ -309,7 +311,7 @@
             };
         }
         let mut at = self.next_housekeeping;
-        if self.plan_due {
+        if active && self.plan_due {
             at = at.min(self.next_round);
         }
         if !self.watch_open {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -129,7 +129,7 @@
     pub fn next_wake(&self) -> u64 {
         let mut at = self.election.next_wake().min(self.next_beat);
         if let Some(leader) = &self.leader {
-            at = at.min(leader.next_wake());
+            at = at.min(leader.next_wake(self.active(self.last_now.mono)));
         }
         for wake in [self.state.next_wake(), self.cloud.next_wake()] {
             at = at.min(wake.unwrap_or(u64::MAX));
--- a/crates/control/tests/stories.rs
+++ b/crates/control/tests/stories.rs
@@ -587,6 +587,24 @@
     clean(&w);
 }
 
+/// A round was due all the time, and never made: the process turned as fast as it could.
+#[test]
+fn a_leader_that_is_cut_off_does_not_spin() {
+    let mut w = world(1, 2, 0.0);
+    assert_eq!(w.submit(0, &array("run-45", 12), runs(5_000)), 201);
+    w.run(1_000);
+    w.state_down = true;
+    w.run(4_000);
+    let before = w.ticks;
+    w.run(5_000);
+    let ticks = w.ticks - before;
+    assert!(ticks < 250, "{ticks} turns in 5 s, of 500 steps");
+    w.state_down = false;
+    w.state.refresh_leases(w.now);
+    assert!(done(&mut w, "run-45", 20_000));
+    clean(&w);
+}
+
 /// A watch has no size limit: one that can't be read would be asked for again for ever.
 #[test]
 fn jobs_are_seen_though_every_watch_fails() {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -70,6 +70,8 @@
     txns: u64,
     /// Watches break: what they would tell can't be read.
     pub break_watches: bool,
+    /// How often a node asked to be woken and was.
+    pub ticks: u64,
     /// Workers by machine name.
     pub workers: BTreeMap<String, FakeWorker>,
     /// Machines the cloud still has.
@@ -150,6 +152,7 @@
             lose_txns: 0,
             txns: 0,
             break_watches: false,
+            ticks: 0,
             workers: BTreeMap::new(),
             capacity: 0,
             rented: BTreeMap::new(),
@@ -365,6 +368,7 @@
             let now = self.clock();
             if let Some(node) = &mut self.nodes[i].node {
                 if now.mono >= node.next_wake() {
+                    self.ticks += 1;
                     node.tick(now);
                 }
             }
