--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -8,7 +8,7 @@
 mod room;
 
 use crate::{weight_of, Policy, Res};
-use constants::{COMING_S, REACH_COST};
+use constants::{COMING_S, LASTING_S, REACH_COST};
 
 /// A machine that tasks could be placed on.
 #[derive(Debug, Clone)]
@@ -240,6 +240,10 @@
     next_task: Vec<usize>,
     blocked: Vec<bool>,
     reserved: Vec<Option<usize>>,
+    /// What of each team's limit is left to a gang that the limit keeps waiting.
+    promised: Vec<Res>,
+    /// What of each team's use is expected to go on for long.
+    lasting: Vec<Res>,
     decisions: Vec<Decision>,
     /// The least that any waiting task takes, resource by resource.
     least: Res,
@@ -269,7 +273,7 @@
                 *q += f64::from(job.running) * weight_of_task(&job.task);
             }
         }
-        let (jobs, machines) = (view.jobs.len(), view.machines.len());
+        let (jobs, machines, teams) = (view.jobs.len(), view.machines.len(), view.teams.len());
         // A gang keeps what was kept for it: machines chosen anew each round would fill up again in between.
         let mut reserved = vec![None; machines];
         for (number, job) in view.jobs.iter().enumerate() {
@@ -288,6 +292,10 @@
             }));
         }
         let least = least.unwrap_or_default();
+        let mut lasting = vec![Res::default(); teams];
+        for r in view.running.iter().filter(|r| r.left_s > LASTING_S) {
+            lasting[r.team].add(&r.res);
+        }
         let mut round = Round {
             policy,
             view,
@@ -295,6 +303,8 @@
             next_task: vec![0; jobs],
             blocked: vec![false; jobs],
             reserved,
+            promised: vec![Res::default(); teams],
+            lasting,
             decisions: Vec::new(),
             least,
             open: Vec::new(),
@@ -544,12 +554,28 @@
             .map(|(_, chosen)| chosen)
     }
 
+    /// Small tasks that rank behind would keep a team at its limit, and a gang out for ever: what it needs is left to
+    /// it, one gang a team at a time. Not if what runs on for long, other gangs mostly, keeps it out in any case.
+    fn promise(&mut self, job: usize) {
+        let j = &self.view.jobs[job];
+        let demand = self.demand(job);
+        let limit = self.view.teams[j.team].limit;
+        let open = TeamView::within(limit, true, &self.lasting[j.team], &demand);
+        if j.gang && !j.resting && open && self.promised[j.team] == Res::default() {
+            self.promised[j.team] = demand;
+        }
+    }
+
     /// Places the next task or the gang; false if there is no room.
     fn place(&mut self, job: usize) -> bool {
         let demand = self.demand(job);
-        let team = &self.view.teams[self.view.jobs[job].team];
-        if !team.allows(&demand) {
+        let number = self.view.jobs[job].team;
+        let team = &self.view.teams[number];
+        let mut with = demand;
+        with.add(&self.promised[number]);
+        if !team.allows(&with) {
             self.blocked[job] = true;
+            self.promise(job);
             return false;
         }
         let entitled = team.entitles(&demand);
@@ -644,6 +670,9 @@
                 if !self.place(job) {
                     if !self.blocked[job] {
                         self.make_room(job);
+                        if self.reserved.contains(&Some(job)) {
+                            self.promise(job);
+                        }
                     }
                     self.blocked[job] = true;
                     break;
--- a/crates/sched/src/round/tests.rs
+++ b/crates/sched/src/round/tests.rs
@@ -348,3 +348,43 @@
         |d: &Decision| matches!(d, Decision::Keep { job: 1, machines } if machines == &[2, 3]);
     assert!(d.iter().any(keeps), "the other waits for what is coming");
 }
+
+/// Gangs of a team at its limit waited nine minutes, as long as its sweeps took each place that became free.
+#[test]
+fn a_gang_kept_out_by_its_teams_limit_is_left_what_it_needs() {
+    let view = |used: f64| {
+        let mut team = TeamView {
+            limit: (0.0, 8.0),
+            ..TeamView::default()
+        };
+        team.used.gpus = used;
+        View {
+            machines: vec![machine(0, 16.0)],
+            teams: vec![team],
+            jobs: vec![job(1, true, 1, 4.0), job(2, false, 10, 1.0)],
+            running: vec![],
+        }
+    };
+    let full = decide(view(6.0));
+    assert!(placed(&full, 0).is_empty() && placed(&full, 1).is_empty());
+    let room = decide(view(3.0));
+    assert_eq!((placed(&room, 0).len(), placed(&room, 1).len()), (1, 1));
+    // Where another gang keeps it out for long, the rest is not held back.
+    let mut lasting = view(6.0);
+    lasting.running = vec![RunningView {
+        job: 0,
+        task: 9,
+        machine: 0,
+        team: 0,
+        priority: 1,
+        res: Res {
+            cpus: 1.0,
+            gpus: 6.0,
+            mem: 1.0,
+        },
+        movable: false,
+        cost_s: 0.0,
+        left_s: 400.0,
+    }];
+    assert_eq!(placed(&decide(lasting), 1).len(), 2);
+}
