--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -63,8 +63,24 @@
 pub const RATE_RETRY_MS: u64 = 80;
 /// Records of a listing asked for at a time; each page has to be decoded in one go.
 pub const LIST_PAGE: u32 = 200;
-/// Tasks whose places and results share one record: some 6 KiB at worst, well within a value.
+/// Tasks of a part of a job as the version before the pipelines reads it: some 6 KiB at worst.
 pub const CHUNK_TASKS: u32 = 128;
+/// Tasks of a part in the dense form: some 400 bytes, 1.5 KiB with names of machines that have nothing in common.
+pub const SMALL_TASKS: u32 = 32;
+/// Bytes of a page of dense parts at most: each write of it costs its encoding.
+pub const PAGE_BYTES: usize = 8 * 1024;
+/// Share of a value that a page of dense parts may take: their sizes are reckoned, not counted.
+pub const SMALL_FILL: f64 = 0.94;
+/// Milliseconds between looks at which version the other nodes run, until all are known to run this one.
+pub const GENERATION_POLL_MS: u64 = 1_500;
+/// Records at most that hold what does not fit into an open job's own; they go with it in one transaction.
+pub const MORE_RECORDS: usize = 2;
+/// Jobs of a pipeline cancelled in memory in a turn, so that a cascade of any size leaves time for all else.
+pub const CASCADE_A_TURN: usize = 64;
+/// Final records looked up at a time, for jobs that wait for what was over before this leader came.
+pub const LOOKUPS: usize = 8;
+/// Milliseconds until a job that was found nowhere is looked for again.
+pub const LOOKUP_RETRY_MS: u64 = 500;
 /// Bytes (a cautious guess of their JSON form) of records put in one transaction, of the 64 KiB allowed.
 pub const TXN_BYTES: usize = 40 * 1024;
 /// Transactions of bookkeeping on their way at a time.
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -2,12 +2,15 @@
 //! unless the answer is final.
 
 mod proofs;
+mod records;
+mod walk;
 
 use crate::mail::{Mail, News, RequestId, StateTag};
-use crate::settings::Team;
+use crate::settings::{Limits, StateLimits, Team};
 use crate::state::{Priority, StateOp, StateReply};
 use constants::*;
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::rc::Rc;
 use wire::cloud::MachineType;
 use wire::peers::JobNews;
 use wire::records::{final_key, job_key, Final, JobRecord, JOBS};
@@ -37,6 +40,10 @@
     Final,
     /// A cancelling transaction is on its way.
     Aborting,
+    /// Looking at the open record of a job before it, or (last) at the final one.
+    Looking { id: String, last: bool },
+    /// A transaction that proves some of the jobs before it is on its way.
+    Checking,
 }
 
 struct Ticket {
@@ -45,16 +52,34 @@
     want: Want,
     stage: Stage,
     since: u64,
+    /// Records whose versions are still to be proven: its own and those of jobs before it.
+    todo: Option<Keys>,
+    /// A job before it is cancelled.
+    doomed: bool,
 }
 
+/// Records with the versions that they are to have.
+type Keys = BTreeMap<String, u64>;
+
 /// Tasks (done, running) of a job, for display.
 pub(crate) type Counts = HashMap<String, (u32, u32)>;
 
-/// An open job's record as last seen: its version, and whether that says it is cancelled.
-type Version = (u64, bool);
+/// An open job's record as last seen.
+#[derive(Clone)]
+struct Version {
+    version: u64,
+    /// Whether that version says that it is cancelled.
+    aborted: bool,
+    /// Jobs it needs; none once all of them are known to be done.
+    needs: Rc<[String]>,
+}
 
-/// A proof under way: its number, its keys in order with the versions asked about, and its tickets.
-type Proof = (u64, Vec<(String, Version)>, Vec<u64>);
+/// A proof under way.
+struct Proof {
+    number: u64,
+    keys: Keys,
+    tickets: Vec<u64>,
+}
 
 pub(crate) struct Gateway {
     teams: Vec<Team>,
@@ -74,10 +99,15 @@
     next_proof: u64,
     proofs: u64,
     proof_guards: usize,
+    /// Limits of the state service today, and what holds at any time.
+    now: Limits,
+    least: Limits,
+    /// Nobody is left who reads only what the version before the pipelines writes.
+    upgraded: bool,
 }
 
 impl Gateway {
-    pub fn new(teams: Vec<Team>, txn_ops: usize) -> Self {
+    pub fn new(teams: Vec<Team>, limits: &StateLimits) -> Self {
         Gateway {
             teams,
             types: None,
@@ -93,7 +123,10 @@
             next_proof: 0,
             proofs: 0,
             // The protocol allows four times as many conditions as writes.
-            proof_guards: 4 * txn_ops,
+            proof_guards: 4 * limits.least().txn_ops,
+            now: limits.now(),
+            least: limits.least(),
+            upgraded: false,
         }
     }
 
@@ -168,6 +201,10 @@
         }
         self.next += 1;
         let create = matches!(&want, Want::Submit { refusal: None, .. });
+        let needs = match &want {
+            Want::Submit { spec: Some(s), .. } => !s.needs.is_empty(),
+            _ => false,
+        };
         // Users ask every few seconds about every open job: a read each would use up the state service's rate.
         let proves = matches!(&want, Want::Status) && self.version_of(&id).is_some();
         let stage = match (create, proves) {
@@ -182,13 +219,17 @@
             want,
             stage,
             since,
+            todo: None,
+            doomed: false,
         };
         self.tickets.insert(self.next, ticket);
         if proves {
             self.proving.push_back(self.next);
-            return;
+        } else if create && needs {
+            self.go_on_creating(self.next, mail);
+        } else {
+            self.send(self.next, mail);
         }
-        self.send(self.next, mail);
     }
 
     /// Whether a request that was turned away may be tried again before its user is told to come back.
@@ -214,10 +255,15 @@
                 let just: JustId = wire::decode(body).map_err(|_| why.to_string())?;
                 (Some((400, why.to_string())), just.id, None)
             }
-            Ok(spec) => {
+            Ok(mut spec) => {
+                spec.dedup_needs();
+                let stranger = |id: &&String| **id == spec.id || !is_job_id(id);
                 let refusal = match spec.invalid_field() {
                     Some(field) => Some((400, format!("{field}: invalid"))),
-                    None => self.never_runs(&spec),
+                    None => match spec.needs.iter().find(stranger) {
+                        Some(id) => Some((422, format!("awaits: {id:?} was never accepted"))),
+                        None => self.never_runs(&spec).or_else(|| self.too_long(&spec)),
+                    },
                 };
                 (refusal, spec.id.clone(), Some(Box::new(spec)))
             }
@@ -267,19 +313,28 @@
         };
         let op = match (&ticket.stage, &ticket.want) {
             (Stage::Creating, Want::Submit { spec: Some(s), .. }) => {
-                let record = JobRecord {
-                    spec: (**s).clone(),
-                    at: mail.now.unix,
-                    aborted: false,
+                let writes = match self.draft(s, mail.now.unix) {
+                    Ok(writes) => writes,
+                    Err(why) => return self.refuse(number, 400, &why, mail),
                 };
+                let mut guards = vec![
+                    Guard::new(job_key(&ticket.id), 0),
+                    Guard::new(final_key(&ticket.id), 0),
+                ];
+                let before = ticket.todo.iter().flatten();
+                guards.extend(before.map(|(id, version)| Guard::new(job_key(id), *version)));
+                StateOp::Txn(Txn { guards, writes })
+            }
+            (Stage::Checking, _) => {
+                let before = ticket.todo.iter().flatten().take(self.proof_guards);
+                let guards = before.map(|(id, version)| Guard::new(job_key(id), *version));
                 StateOp::Txn(Txn {
-                    guards: vec![
-                        Guard::new(job_key(&ticket.id), 0),
-                        Guard::new(final_key(&ticket.id), 0),
-                    ],
-                    writes: vec![Write::put(job_key(&ticket.id), &record)],
+                    guards: guards.collect(),
+                    writes: Vec::new(),
                 })
             }
+            (Stage::Looking { id, last: false }, _) => StateOp::Get(job_key(id)),
+            (Stage::Looking { id, last: true }, _) => StateOp::Get(final_key(id)),
             (Stage::Final, _) => StateOp::Get(final_key(&ticket.id)),
             _ => StateOp::Get(job_key(&ticket.id)),
         };
@@ -309,33 +364,71 @@
             (Stage::Creating, StateReply::Committed { version }) => {
                 if let Some(t) = self.tickets.remove(&number) {
                     let took_ms = mail.now.mono.saturating_sub(t.since);
-                    log::info!("event=job_accepted job={} took_ms={took_ms}", t.id);
-                    self.remember_version(&t.id, version, false);
-                    mail.respond(t.request, 201, status_body(&t.id, Phase::Queued, None));
+                    let needs = match t.want {
+                        Want::Submit { spec: Some(s), .. } => s.needs,
+                        _ => Vec::new(),
+                    };
+                    log::info!(
+                        "event=job_accepted job={} took_ms={took_ms} needs={} doomed={}",
+                        t.id,
+                        needs.len(),
+                        t.doomed
+                    );
+                    if !needs.is_empty() && !self.upgraded {
+                        mail.news
+                            .push(News::Proven("a submission that needs others"));
+                    }
+                    self.remember_version(&t.id, version, false, &needs);
+                    let phase = match t.doomed {
+                        true => Phase::Aborted,
+                        false => Phase::Queued,
+                    };
+                    mail.respond(t.request, 201, status_body(&t.id, phase, None));
                 }
             }
             (Stage::Aborting, StateReply::Committed { version }) => {
                 if let Some(t) = self.tickets.remove(&number) {
                     log::info!("event=job_aborted job={}", t.id);
-                    self.remember_version(&t.id, version, true);
+                    self.remember_version(&t.id, version, true, &[]);
                     mail.news.push(News::Aborted(t.id.clone()));
                     mail.respond(t.request, 200, status_body(&t.id, Phase::Aborted, None));
                 }
             }
             // Certainly not executed; most often the rate limit that all nodes share.
-            (Stage::Creating | Stage::Open | Stage::Final, StateReply::Refused)
-                if self.may_wait(number, mail.now.mono) =>
-            {
+            (
+                Stage::Creating
+                | Stage::Open
+                | Stage::Final
+                | Stage::Checking
+                | Stage::Looking { .. },
+                StateReply::Refused,
+            ) if self.may_wait(number, mail.now.mono) => {
                 self.send(number, mail);
             }
             (_, StateReply::Refused) => {
                 self.refuse(number, 503, "the state service refuses", mail);
             }
+            // A size that only the limits to come explain: they have come, and the record is written for them.
+            (Stage::Creating, StateReply::Invalid)
+                if !self.upgraded && self.is_larger_than_least(number) =>
+            {
+                self.upgraded = true;
+                mail.news
+                    .push(News::Proven("a submission that only new limits refuse"));
+                self.send(number, mail);
+            }
             (_, StateReply::Invalid) => {
                 log::error!("event=user_request_invalid job={}", ticket.id);
                 self.refuse(number, 503, "the state service can't take this", mail);
             }
             _ if late => self.refuse(number, 503, "not decided in time", mail),
+            (Stage::Creating | Stage::Checking, StateReply::Conflict { failed })
+                if !failed.iter().any(|k| self.is_own_key(number, k)) =>
+            {
+                self.before_changed(number, &failed, mail);
+            }
+            (Stage::Checking, StateReply::Committed { .. }) => self.checked(number, mail),
+            (Stage::Looking { .. }, reply) => self.looked(number, reply, mail),
             // Unknown outcome or a conflict: what is recorded decides.
             (Stage::Creating | Stage::Aborting, _) => self.go(number, Stage::Open, mail),
             (Stage::Open, StateReply::Item(item)) => match item.value.deserialized::<JobRecord>() {
@@ -363,23 +456,25 @@
         };
         if let (Want::Abort, false) = (&ticket.want, record.aborted) {
             ticket.stage = Stage::Aborting;
-            let record = JobRecord {
-                aborted: true,
-                ..record
-            };
             let key = job_key(&ticket.id);
             let txn = Txn {
                 guards: vec![Guard::new(key.clone(), version)],
-                writes: vec![Write::put(key, &record)],
+                writes: vec![Write::put(key, &self.cancelled(record))],
             };
             let tag = StateTag::User(number);
             mail.state.push((Priority::User, StateOp::Txn(txn), tag));
             return;
         }
+        let id = ticket.id.clone();
+        self.remember_version(&id, version, record.aborted, &record.spec.needs);
+        let held = self.version_of(&id).is_some_and(|v| !v.needs.is_empty());
+        if held && !record.aborted {
+            // Whether a job before it is cancelled is to be seen.
+            return self.start_proof(number, mail);
+        }
         let Some(t) = self.tickets.remove(&number) else {
             return;
         };
-        self.remember_version(&t.id, version, record.aborted);
         if record.aborted {
             // Perhaps by a transaction of ours whose answer was lost, or of a node that crashed since.
             mail.news.push(News::Aborted(t.id.clone()));
@@ -440,6 +535,7 @@
         match news {
             News::JobOver(id, end) => self.remember_final(id.clone(), *end),
             News::Types(types) => self.set_types(types.clone()),
+            News::Upgraded | News::Proven(_) => self.upgraded = true,
             _ => {}
         }
     }
--- a/crates/control/src/gateway/proofs.rs
+++ b/crates/control/src/gateway/proofs.rs
@@ -1,26 +1,54 @@
 //! Questions about open jobs, many of them proven by one transaction.
 //!
 //! The version of a record is remembered from whoever told it last. It is a hint about what to ask and never an
-//! answer: only a transaction that compares it with the store, sent after the question came, makes it one.
+//! answer: only a transaction that compares it with the store, sent after the question came, makes it one. For a job
+//! that waits for others their records are compared too, in several transactions if they are many: each holds at a
+//! moment after the question, so nothing cancelled before it is missed.
 
 use super::*;
 
 impl Gateway {
-    /// Notes which version of a job's record was last seen. An older one than known changes nothing.
-    pub fn remember_version(&mut self, id: &str, version: u64, aborted: bool) {
-        if self.version_of(id).is_some_and(|(v, _)| v >= version) || self.known_final(id).is_some()
-        {
+    /// Notes which version of a job's record was last seen. An older one than known changes nothing, but that nothing
+    /// before a job is left to wait for stays true.
+    pub fn remember_version(&mut self, id: &str, version: u64, aborted: bool, needs: &[String]) {
+        if self.known_final(id).is_some() {
             return;
         }
+        let known = self.version_of(id);
+        let free = needs.is_empty() || known.as_ref().is_some_and(|k| k.needs.is_empty());
+        let needs: Rc<[String]> = if free { Rc::default() } else { needs.into() };
+        let entry = match known {
+            Some(known) if known.version >= version => {
+                if known.needs.is_empty() || !free {
+                    return;
+                }
+                Version { needs, ..known }
+            }
+            _ => Version {
+                version,
+                aborted,
+                needs,
+            },
+        };
         if self.versions.len() >= VERSION_CACHE / 2 {
             self.old_versions = std::mem::take(&mut self.versions);
         }
-        self.versions.insert(id.to_string(), (version, aborted));
+        self.versions.insert(id.to_string(), entry);
+    }
+
+    /// All jobs before it are done.
+    pub(super) fn is_free(&mut self, id: &str) {
+        if let Some(v) = self.version_of(id) {
+            self.remember_version(id, v.version, v.aborted, &[]);
+        }
+    }
+
+    pub(super) fn known_version(&self, id: &str) -> Option<&Version> {
+        self.versions.get(id).or_else(|| self.old_versions.get(id))
     }
 
     pub(super) fn version_of(&self, id: &str) -> Option<Version> {
-        let known = self.versions.get(id).or_else(|| self.old_versions.get(id));
-        known.copied()
+        self.known_version(id).cloned()
     }
 
     pub(super) fn forget_version(&mut self, id: &str) {
@@ -43,69 +71,82 @@
         if !gathered {
             return;
         }
-        let mut keys: BTreeMap<String, Version> = BTreeMap::new();
+        let mut keys = Keys::new();
         let mut tickets = Vec::new();
-        let mut unknown = Vec::new();
-        while let Some(number) = self.proving.pop_front() {
-            let Some(id) = self.tickets.get(&number).map(|t| t.id.clone()) else {
+        for number in std::mem::take(&mut self.proving) {
+            let Some(todo) = self.keys_for(number, mail) else {
                 continue;
             };
-            let Some(version) = self.version_of(&id) else {
-                unknown.push(number);
-                continue;
-            };
-            if keys.len() >= self.proof_guards && !keys.contains_key(&id) {
-                self.proving.push_front(number);
-                break;
+            for (id, version) in &todo {
+                if keys.len() < self.proof_guards && !keys.contains_key(id) {
+                    keys.insert(id.clone(), *version);
+                }
+            }
+            // A ticket with many records goes on in the next ones.
+            match todo.iter().any(|(id, v)| keys.get(id) == Some(v)) {
+                true => tickets.push(number),
+                false => self.proving.push_back(number),
             }
-            keys.insert(id, version);
-            tickets.push(number);
-        }
-        for number in unknown {
-            self.go(number, Stage::Open, mail);
         }
         if keys.is_empty() {
             return;
         }
-        let guard = |(id, (version, _)): (&String, &Version)| Guard::new(job_key(id), *version);
-        let guards = keys.iter().map(guard).collect();
-        let writes = Vec::new();
+        let guards = keys.iter().map(|(id, v)| Guard::new(job_key(id), *v));
+        let op = StateOp::Txn(Txn {
+            guards: guards.collect(),
+            writes: Vec::new(),
+        });
         self.next_proof = now + PROOF_EVERY_MS;
         self.proofs += 1;
-        let tag = StateTag::Proof(self.proofs);
-        let op = StateOp::Txn(Txn { guards, writes });
-        mail.state.push((Priority::User, op, tag));
-        self.proof = Some((self.proofs, keys.into_iter().collect(), tickets));
+        let number = self.proofs;
+        mail.state
+            .push((Priority::User, op, StateTag::Proof(number)));
+        self.proof = Some(Proof {
+            number,
+            keys,
+            tickets,
+        });
     }
 
     /// A proof came back: what held is answered, what did not is read.
     pub fn on_proof(&mut self, number: u64, reply: StateReply, mail: &mut Mail) {
-        let Some((_, keys, tickets)) = self.proof.take_if(|p| p.0 == number) else {
+        let Some(Proof { keys, tickets, .. }) = self.proof.take_if(|p| p.number == number) else {
             return;
         };
         let now = mail.now.mono;
         match reply {
             StateReply::Committed { .. } => {
-                for number in tickets {
-                    let Some(t) = self.tickets.remove(&number) else {
+                for number in tickets.into_iter().rev() {
+                    let Some(t) = self.tickets.get_mut(&number) else {
                         continue;
                     };
-                    let held = keys.binary_search_by(|(id, _)| id.cmp(&t.id));
-                    let aborted = held.is_ok_and(|at| keys[at].1 .1);
-                    self.answer_open(t.request, &t.id, aborted, mail);
+                    let todo = t.todo.get_or_insert_default();
+                    todo.retain(|id, version| keys.get(id) != Some(version));
+                    if !todo.is_empty() {
+                        self.proving.push_front(number);
+                        self.next_proof = now;
+                        continue;
+                    }
+                    if let Some(t) = self.tickets.remove(&number) {
+                        let aborted = self.known_version(&t.id).is_some_and(|v| v.aborted);
+                        self.answer_open(t.request, &t.id, aborted, mail);
+                    }
                 }
             }
             StateReply::Conflict { failed } => {
                 for id in failed.iter().filter_map(|k| k.strip_prefix(JOBS)) {
-                    let told = keys.binary_search_by(|(k, _)| k.as_str().cmp(id));
+                    let told = keys.get(id).copied();
                     // A newer version may have been learnt since.
-                    if told.is_ok_and(|at| self.version_of(id) == Some(keys[at].1)) {
+                    if told.is_some() && self.known_version(id).map(|v| v.version) == told {
                         self.forget_version(id);
                     }
                 }
                 // The others wait for the next one, which is sent at once: they were not proven by this.
                 for number in tickets.into_iter().rev() {
-                    self.proving.push_front(number);
+                    if let Some(t) = self.tickets.get_mut(&number) {
+                        t.todo = None;
+                        self.proving.push_front(number);
+                    }
                 }
                 self.next_proof = now;
             }
@@ -128,11 +169,11 @@
         self.prove(mail);
     }
 
-    /// What the leader tells of open jobs.
+    /// What the leader tells of open jobs: only of those for which nothing before them is left to wait for.
     pub fn hear(&mut self, jobs: &[JobNews]) {
         self.counts.clear();
         for j in jobs {
-            self.remember_version(&j.id, j.version, j.aborted);
+            self.remember_version(&j.id, j.version, j.aborted, &[]);
             if j.done + j.running > 0 {
                 self.counts.insert(j.id.clone(), (j.done, j.running));
             }
--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -3,7 +3,7 @@
 use sched::{RangeSet, Res};
 use std::collections::{BTreeMap, BTreeSet};
 use wire::records::*;
-use wire::users::{Shape, Submission};
+use wire::users::{Priority, Shape, Submission};
 use wire::workers::{Report, TaskPhase};
 
 /// How far a place has come.
@@ -84,14 +84,60 @@
     }
 
     /// A cautious guess at the bytes of its record, in the form that limits count in.
-    pub fn bytes(&self) -> usize {
-        let place = |p: &Place| 26 + p.machine.len();
-        150 + self.done.to_string().len() + self.places.values().map(place).sum::<usize>()
+    pub fn bytes(&self, dense: bool) -> usize {
+        let done = self.done.to_string().len();
+        if !dense {
+            let place = |p: &Place| 26 + p.machine.len();
+            return 150 + done + self.places.values().map(place).sum::<usize>();
+        }
+        // The names' common part is counted once; attempts other than the highest are written out.
+        let names = self.places.values().map(|p| p.machine.as_bytes());
+        let first = self.places.values().next().map_or("", |p| &p.machine);
+        let same = |name: &[u8]| {
+            name.iter()
+                .zip(first.as_bytes())
+                .take_while(|(a, b)| a == b)
+                .count()
+        };
+        let common = names.map(same).min().unwrap_or(0);
+        let place = |p: &Place| {
+            let attempt = if p.attempt == self.hi && !p.machine.contains(':') {
+                0
+            } else {
+                6
+            };
+            10 + attempt + p.machine.len() - common
+        };
+        125 + common + done + self.places.values().map(place).sum::<usize>()
+    }
+
+    /// The quarter (or whichever part) of a wide part that holds these tasks. What was timed goes with the first.
+    fn part(&self, tasks: std::ops::Range<u32>, first: bool) -> Chunk {
+        let mut done = RangeSet::default();
+        for t in self.done.iter().filter(|t| tasks.contains(t)) {
+            done.insert(t);
+        }
+        let places = self.places.range(tasks).map(|(t, p)| (*t, p.clone()));
+        Chunk {
+            home: self.home,
+            done,
+            places: places.collect(),
+            hi: self.hi,
+            secs: if first { self.secs } else { 0.0 },
+            timed: if first { self.timed } else { 0 },
+            seq: self.seq,
+            saved: self.saved,
+        }
     }
 }
 
-pub(crate) fn chunk_of(task: u32) -> u32 {
-    task / constants::CHUNK_TASKS
+/// Where a job's results are wanted by jobs that need it: moments (time of day, ms) by which it must be over for the
+/// first of them to meet its deadline, and for it to meet the last moment that an aim still counts; and the highest
+/// priority among them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Reach {
+    pub ends: Option<(u64, u64)>,
+    pub priority: Priority,
 }
 
 /// A job that is not over.
@@ -103,7 +149,15 @@
     pub aborted: bool,
     /// Whether the record of that version says so; a notice may have come ahead of it.
     pub recorded_abort: bool,
+    /// Tasks of a part: as the version before the pipelines has them, or few, in the dense form.
+    pub span: u32,
     pub chunks: BTreeMap<u32, Chunk>,
+    /// Jobs that it needs and that are not known to be filed as done.
+    pub needs: BTreeSet<String>,
+    /// When the last of them was, by this leader's knowledge (time of day, ms): from then on it waits for a place.
+    pub ready_at: u64,
+    /// What the jobs that need it make of its deadline and priority.
+    pub reach: Option<Reach>,
     /// Tasks that are done or have a place.
     pub busy: RangeSet,
     pub done: u64,
@@ -123,17 +177,24 @@
     pub first_run: Option<u64>,
     /// Machines kept from filling up for this gang.
     pub kept: Vec<String>,
+    /// Further records that its submission takes.
+    pub more: u32,
 }
 
 impl Job {
     pub fn new(record: JobRecord, version: u64) -> Self {
+        let more = record.more;
         Job {
             spec: record.spec,
             at: record.at,
             version,
             aborted: record.aborted,
             recorded_abort: record.aborted,
+            span: constants::CHUNK_TASKS,
             chunks: BTreeMap::new(),
+            needs: BTreeSet::new(),
+            ready_at: record.at,
+            reach: None,
             busy: RangeSet::default(),
             done: 0,
             placed: 0,
@@ -147,6 +208,61 @@
             pause_until: 0,
             first_run: None,
             kept: Vec::new(),
+            more,
+        }
+    }
+
+    /// Whether it waits for other jobs: then it is as good as not there.
+    pub fn is_held(&self) -> bool {
+        !self.needs.is_empty()
+    }
+
+    /// The highest priority among it and the jobs that need it.
+    pub fn priority(&self) -> Priority {
+        let reached = self.reach.map_or(self.spec.priority, |r| r.priority);
+        reached.max(self.spec.priority)
+    }
+
+    pub fn part_of(&self, task: u32) -> u32 {
+        task / self.span
+    }
+
+    pub fn chunk(&self, task: u32) -> Option<&Chunk> {
+        self.chunks.get(&self.part_of(task))
+    }
+
+    fn chunk_mut(&mut self, task: u32) -> Option<&mut Chunk> {
+        let part = self.part_of(task);
+        self.chunks.get_mut(&part)
+    }
+
+    pub fn is_dense(&self) -> bool {
+        self.span == constants::SMALL_TASKS
+    }
+
+    /// Parts of the present layout that a part of the wide one comes to.
+    pub fn parts_of_wide(&self, wide: u32) -> std::ops::Range<u32> {
+        let parts = constants::CHUNK_TASKS / self.span;
+        wide * parts..(wide + 1) * parts
+    }
+
+    /// Goes over to the dense form: each part is split, and what is split from it carries on its change numbers, so
+    /// that the copies in both forms can be told apart by them.
+    pub fn split(&mut self) {
+        if self.is_dense() {
+            return;
+        }
+        self.span = constants::SMALL_TASKS;
+        for (wide, chunk) in std::mem::take(&mut self.chunks) {
+            let parts = self.parts_of_wide(wide);
+            for part in parts.clone() {
+                let tasks = part * self.span..(part + 1) * self.span;
+                if tasks.start >= self.tasks() {
+                    break;
+                }
+                let piece = chunk.part(tasks, part == parts.start);
+                self.chunks.insert(part, piece);
+            }
         }
     }
 
@@ -171,11 +287,11 @@
     }
 
     pub fn place(&self, task: u32) -> Option<&Place> {
-        self.chunks.get(&chunk_of(task))?.places.get(&task)
+        self.chunk(task)?.places.get(&task)
     }
 
     pub fn place_mut(&mut self, task: u32) -> Option<&mut Place> {
-        self.chunks.get_mut(&chunk_of(task))?.places.get_mut(&task)
+        self.chunk_mut(task)?.places.get_mut(&task)
     }
 
     pub fn places(&self) -> impl Iterator<Item = (u32, &Place)> {
@@ -186,61 +302,62 @@
 
     /// Whether everything known about a task's chunk is recorded.
     pub fn is_saved(&self, task: u32) -> bool {
-        self.chunks.get(&chunk_of(task)).is_none_or(|c| !c.dirty())
+        self.chunk(task).is_none_or(|c| !c.dirty())
     }
 
     /// Whether a task has a place that is recorded and whose start has not been sent.
     pub fn is_startable(&self, task: u32) -> bool {
-        let chunk = self.chunks.get(&chunk_of(task));
+        let chunk = self.chunk(task);
         let place = chunk.and_then(|c| Some((c, c.places.get(&task)?)));
         place.is_some_and(|(c, p)| p.stage == Stage::Ready && p.seq <= c.saved && p.stop.is_none())
     }
 
-    pub fn load_chunk(&mut self, entry: PageEntry, page: u32) {
-        let (number, record) = (entry.part, entry.chunk);
-        let done = RangeSet::parse(&record.done).unwrap_or_default();
-        for t in done.iter() {
-            self.busy.insert(t);
-        }
-        self.done += done.len();
-        let places: BTreeMap<u32, Place> = record
-            .at
-            .iter()
-            .map(|(task, attempt, machine)| {
-                let place = Place {
-                    machine: machine.clone(),
-                    attempt: *attempt,
-                    seq: 0,
-                    stage: Stage::Recorded,
-                    phase: None,
-                    running_since: None,
-                    pilot: false,
-                    stop: None,
-                    at: 0,
-                };
-                (*task, place)
-            })
-            .collect();
-        self.placed += places.len() as u32;
-        for t in places.keys() {
-            self.busy.insert(*t);
-        }
+    /// Takes in a part as a record has it, in the form that the job is in.
+    pub fn load_chunk(&mut self, part: u32, seq: u64, record: ChunkRecord, page: u32) {
+        let place = |(task, attempt, machine)| {
+            let place = Place {
+                machine,
+                attempt,
+                seq: 0,
+                stage: Stage::Recorded,
+                phase: None,
+                running_since: None,
+                pilot: false,
+                stop: None,
+                at: 0,
+            };
+            (task, place)
+        };
         let chunk = Chunk {
             home: Some(page),
-            done,
-            places,
+            done: RangeSet::parse(&record.done).unwrap_or_default(),
+            places: record.at.into_iter().map(place).collect(),
             hi: record.hi,
             secs: record.secs,
             timed: record.timed,
-            seq: entry.seq,
-            saved: entry.seq,
+            seq,
+            saved: seq,
         };
-        self.chunks.insert(number, chunk);
+        self.chunks.insert(part, chunk);
+    }
+
+    /// Counts what the loaded parts hold.
+    pub fn count_chunks(&mut self) {
+        self.busy = RangeSet::default();
+        (self.done, self.placed) = (0, 0);
+        for chunk in self.chunks.values() {
+            self.done += chunk.done.len();
+            self.placed += chunk.places.len() as u32;
+            for t in chunk.done.iter().chain(chunk.places.keys().copied()) {
+                self.busy.insert(t);
+            }
+        }
     }
 
     /// Gives a task a place. The caller has checked that it has none.
     pub fn put(&mut self, task: u32, machine: &str, attempt: u64, pilot: bool, now: u64) {
-        let chunk = self.chunks.entry(chunk_of(task)).or_default();
+        let part = self.part_of(task);
+        let chunk = self.chunks.entry(part).or_default();
         chunk.seq += 1;
         chunk.hi = chunk.hi.max(attempt);
         let place = Place {
@@ -261,7 +378,8 @@
 
     /// Takes a task's place away, the task not being done.
     pub fn vacate(&mut self, task: u32) -> Option<Place> {
-        let chunk = self.chunks.get_mut(&chunk_of(task))?;
+        let part = self.part_of(task);
+        let chunk = self.chunks.get_mut(&part)?;
         let place = chunk.places.remove(&task)?;
         chunk.seq += 1;
         self.placed -= 1;
@@ -278,7 +396,8 @@
 
     /// Records a task as done; true if that is new.
     pub fn complete(&mut self, task: u32, secs: Option<f64>) -> bool {
-        let chunk = self.chunks.entry(chunk_of(task)).or_default();
+        let part = self.part_of(task);
+        let chunk = self.chunks.entry(part).or_default();
         if !chunk.done.insert(task) {
             return false;
         }
@@ -311,7 +430,7 @@
     /// Whether it is a gang that has waited in vain for so long that it rests: what is kept, rented or stopped for
     /// it, perhaps for ever, is needed by others. It is tried again after a while.
     pub fn is_resting(&self, now_unix: u64) -> bool {
-        let age_s = now_unix.saturating_sub(self.at) / 1000;
+        let age_s = now_unix.saturating_sub(self.ready_at) / 1000;
         // One that was placed before, perhaps by an earlier leader, can be again.
         let idle = self.is_gang() && self.highest_attempt() == 0;
         idle && age_s % (2 * constants::GANG_TRY_S) >= constants::GANG_TRY_S
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -7,6 +7,7 @@
 mod books;
 mod fleet;
 mod pages;
+mod pipelines;
 mod planning;
 mod reports;
 pub(crate) use reports::{Heard, Held};
@@ -39,6 +40,10 @@
     Refresh(Dirty, String),
     /// All open jobs, after the watch fell behind.
     Resync,
+    /// How a job ended that others need.
+    Final(String),
+    /// What does not fit into an open job's own record.
+    More(String, u32),
 }
 
 /// Why the leader asked the cloud.
@@ -135,8 +140,11 @@
     rentals: BTreeMap<String, Rental>,
     types: Cell<Vec<MachineType>>,
     pages: BTreeMap<u32, pages::Page>,
-    /// While loading: the newest copy of each part of a job, with its page.
-    copies: HashMap<(String, u32), (u32, PageEntry)>,
+    /// Parts are written in the dense form, which the version before the pipelines can't read.
+    dense: bool,
+    /// While loading.
+    copies: pages::Copies,
+    pipes: pipelines::Pipes,
     watch_from: u64,
     watch_open: bool,
     watch_retry_at: u64,
@@ -167,7 +175,9 @@
     next_rent: u64,
     kill_budget: Bucket,
     /// Jobs filed away in this term, in two generations.
-    filed: [std::collections::HashSet<String>; 2],
+    filed: [HashMap<String, Final>; 2],
+    /// Until when nothing is written, after a transaction that the state service called invalid.
+    invalid_until: u64,
     next_summary: u64,
     spent: fleet::Spent,
     next_consolidation: u64,
@@ -191,6 +201,7 @@
         stopwatch: crate::Stopwatch,
         term: u64,
         lead_version: u64,
+        dense: bool,
         now: Now,
     ) -> Self {
         Leader {
@@ -214,7 +225,9 @@
             rentals: BTreeMap::new(),
             types: Cell::new(None, 0),
             pages: BTreeMap::new(),
-            copies: HashMap::new(),
+            dense,
+            copies: pages::Copies::default(),
+            pipes: pipelines::Pipes::default(),
             watch_from: 0,
             watch_open: false,
             watch_retry_at: 0,
@@ -240,6 +253,7 @@
             next_rent: 0,
             kill_budget: Bucket::new(20.0, 40.0),
             filed: Default::default(),
+            invalid_until: 0,
             next_summary: 0,
             spent: fleet::Spent::default(),
             next_consolidation: 0,
@@ -253,6 +267,17 @@
         }
     }
 
+    /// Nobody is left who could not read the dense form.
+    pub fn upgraded(&mut self, mail: &mut Mail) {
+        // While the records are being read they say themselves which parts are where.
+        if self.is_ready() {
+            self.go_dense();
+            self.flush(mail);
+        } else {
+            self.dense = true;
+        }
+    }
+
     pub fn is_ready(&self) -> bool {
         self.loading == Loading::Ready
     }
@@ -286,6 +311,7 @@
             };
             self.ask(Priority::Books, op, Ask::Watch, mail);
         }
+        self.mind_pipelines(mail);
         if now >= self.next_housekeeping {
             self.next_housekeeping = now + HOUSEKEEPING_MS;
             self.watch_machines(active, mail);
@@ -310,7 +336,7 @@
                 self.load_retry_at
             };
         }
-        let mut at = self.next_housekeeping;
+        let mut at = self.next_housekeeping.min(self.pipelines_wake());
         if active && self.plan_due {
             at = at.min(self.next_round);
         }
@@ -327,6 +353,8 @@
             Ask::Flight(number) => self.on_flight(number, reply, mail),
             Ask::Refresh(what, key) => self.on_refresh(what, key, reply, mail),
             Ask::Resync => self.on_resync(reply, mail),
+            Ask::Final(id) => self.on_final(&id, reply, mail),
+            Ask::More(id, number) => self.on_more(id, number, reply, mail),
         }
     }
 
@@ -349,7 +377,8 @@
             return self.tick(false, mail);
         }
         let next = match prefix {
-            JOBS => Some(PAGES),
+            JOBS => Some(MORE),
+            MORE => Some(PAGES),
             PAGES => Some(RENTALS),
             RENTALS => Some(TYPES),
             _ => None,
@@ -376,6 +405,14 @@
             JOBS => value.deserialized::<JobRecord>().map(|r| {
                 self.jobs.insert(name, Job::new(r, version));
             }),
+            MORE => value.deserialized::<MoreRecord>().map(|r| {
+                let job = name
+                    .split_once('/')
+                    .and_then(|(id, _)| self.jobs.get_mut(id));
+                if let Some(job) = job.filter(|j| j.more > 0) {
+                    job.spec.types.get_or_insert_default().extend(r.types);
+                }
+            }),
             PAGES => value.deserialized::<PageRecord>().map(|r| {
                 if let Ok(number) = name.parse::<u32>() {
                     self.load_page(number, r, version);
@@ -423,7 +460,11 @@
                 .places
                 .insert((id, task));
         }
-        for id in self.jobs.keys().cloned().collect::<Vec<_>>() {
+        let ids: Vec<String> = self.jobs.keys().cloned().collect();
+        for id in &ids {
+            self.await_needs(id, mail.now);
+        }
+        for id in ids {
             if self.jobs.get(&id).is_some_and(|j| j.aborted) {
                 self.abort_places(&id, mail.now);
             }
@@ -531,11 +572,12 @@
             log::error!("event=record_unreadable key={key}");
             return;
         };
-        self.learn_job(id, record, change.version, mail.now);
+        self.learn_job(id, record, change.version, mail);
     }
 
-    fn learn_job(&mut self, id: &str, record: JobRecord, version: u64, now: Now) {
-        let filed = self.is_filed(id);
+    fn learn_job(&mut self, id: &str, record: JobRecord, version: u64, mail: &mut Mail) {
+        let now = mail.now;
+        let filed = self.filed_as(id).is_some();
         match self.jobs.get_mut(id) {
             Some(job) if version <= job.version => return,
             Some(job) => {
@@ -545,23 +587,42 @@
                     job.aborted = true;
                     log::info!("event=abort_seen job={id} placed={}", job.placed);
                     self.abort_places(id, now);
+                    self.cascade_from(id);
                 }
             }
             // A job that was filed away can't come back: ids are created once.
             None if filed => return,
-            None => {
-                log::info!(
-                    "event=job_seen job={id} class={} team={} tasks={} gang={} guess_s={:.0} due_s={:.0}",
-                    record.spec.class,
-                    record.spec.team,
-                    record.spec.tasks,
-                    record.spec.shape == wire::users::Shape::Gang,
-                    record.spec.guess_s,
-                    record.spec.due_s.unwrap_or(0.0)
-                );
-                self.jobs.insert(id.to_string(), Job::new(record, version));
+            // Of a cancelled one the rest is of no interest.
+            None if record.more > 0 && !record.aborted => {
+                return self.fetch_more(id, record, version, mail);
             }
+            None => return self.insert_job(id, record, version, mail),
+        }
+        self.plan_due = true;
+        self.mark_if_final(id);
+    }
+
+    /// A job that has become known.
+    fn insert_job(&mut self, id: &str, record: JobRecord, version: u64, mail: &mut Mail) {
+        log::info!(
+            "event=job_seen job={id} class={} team={} tasks={} gang={} guess_s={:.0} due_s={:.0} needs={}",
+            record.spec.class,
+            record.spec.team,
+            record.spec.tasks,
+            record.spec.shape == wire::users::Shape::Gang,
+            record.spec.guess_s,
+            record.spec.due_s.unwrap_or(0.0),
+            record.spec.needs.len()
+        );
+        let mut job = Job::new(record, version);
+        if self.dense {
+            job.split();
+        }
+        if !job.spec.needs.is_empty() && !self.dense {
+            mail.news.push(News::Proven("a job that needs others"));
         }
+        self.jobs.insert(id.to_string(), job);
+        self.await_needs(id, mail.now);
         self.plan_due = true;
         self.mark_if_final(id);
     }
@@ -573,6 +634,7 @@
             job.aborted = true;
             log::info!("event=abort_told job={id} placed={}", job.placed);
             self.abort_places(id, now);
+            self.cascade_from(id);
             self.mark_if_final(id);
         }
     }
@@ -634,8 +696,12 @@
     }
 
     /// What peers need to know of each open job.
+    ///
+    /// Only jobs that wait for no others are told of, as the version before the pipelines does, which knows no such:
+    /// so whoever hears of a job knows that nothing it needs can be cancelled any more.
     pub fn news(&self) -> impl Iterator<Item = wire::peers::JobNews> + '_ {
-        self.jobs.iter().map(|(id, job)| {
+        let free = self.jobs.iter().filter(|(_, job)| !job.is_held());
+        free.map(|(id, job)| {
             let running = job
                 .places()
                 .filter(|(_, p)| p.phase == Some(TaskPhase::Running))
--- a/crates/control/src/leader/pages.rs
+++ b/crates/control/src/leader/pages.rs
@@ -7,6 +7,11 @@
 //! - A page is written anew with all that has its home there, so nothing is lost before a newer copy is known to be
 //!   recorded elsewhere. The page that keeps least is taken, and what was written there is at home there.
 //! - A copy with places that no record has yet is guarded by its job's version: it fails once the job is cancelled.
+//!
+//! Two layouts are read, one is written: wide parts of 128 tasks, which the version before the pipelines has, and, once
+//! none of that version can come back, small parts in the dense form, which fit the limits to come. A part that was
+//! split carries on its change number, so the highest counts across both. Pages too large for the new limits are never
+//! written again: what they hold moves out as it changes, and what is left empty is deleted.
 
 use super::books::*;
 use super::store::Flight;
@@ -56,15 +61,113 @@
     pub fn bytes(&self) -> usize {
         self.bytes
     }
+
+    fn jobs(&self) -> usize {
+        let (mut jobs, mut last) = (0, "");
+        for (id, _) in &self.parts {
+            jobs += usize::from(id != last);
+            last = id;
+        }
+        jobs
+    }
 }
 
-/// What a transaction writes of one part: job, number and last change.
-pub(super) type Copied = (String, u32, u64);
+/// What a transaction writes of one part, in either layout.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Copied {
+    pub job: String,
+    part: u32,
+    seq: u64,
+    wide: bool,
+}
+
+/// What a page says it holds.
+pub(super) fn copies_in(record: &PageRecord) -> Vec<Copied> {
+    let wide = record.parts.iter().map(|e| Copied {
+        job: e.job.clone(),
+        part: e.part,
+        seq: e.seq,
+        wide: true,
+    });
+    let small = record.small.iter().map(|e| Copied {
+        job: e.job.clone(),
+        part: e.part,
+        seq: e.seq,
+        wide: false,
+    });
+    wide.chain(small).collect()
+}
+
+/// The newest copies of parts while pages are loaded, by job and number, with their page, change number and content.
+#[derive(Default)]
+pub(super) struct Copies {
+    wide: HashMap<(String, u32), (u32, u64, ChunkRecord)>,
+    small: HashMap<(String, u32), (u32, u64, ChunkRecord)>,
+}
 
 impl Leader {
-    /// Bytes of a page at most: half of what a value may have, since sizes are guessed.
+    /// Limits that writes are held to.
+    pub(super) fn limits(&self) -> crate::settings::Limits {
+        match self.dense {
+            true => self.settings.deployment.state.least(),
+            false => self.settings.deployment.state.now(),
+        }
+    }
+
+    /// Bytes of a page at most.
     fn page_bytes(&self) -> usize {
-        (self.settings.deployment.state.value_kb * 512.0) as usize
+        let value = self.limits().value_bytes;
+        match self.dense {
+            true => ((value as f64 * SMALL_FILL) as usize).min(PAGE_BYTES),
+            false => value / 2,
+        }
+    }
+
+    /// Jobs that may be at home on a page at most: all of them may need a guard in one transaction.
+    fn page_jobs(&self) -> usize {
+        4 * self.limits().txn_ops - 3
+    }
+
+    /// From now on parts are written in the dense form.
+    pub(super) fn go_dense(&mut self) {
+        if self.dense {
+            return;
+        }
+        self.dense = true;
+        for job in self.jobs.values_mut() {
+            job.split();
+        }
+        self.settle_homes();
+        log::info!(
+            "event=dense_pages term={} pages={} page_bytes={}",
+            self.term,
+            self.pages.len(),
+            self.page_bytes()
+        );
+        let dirty = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.chunks.values().any(Chunk::dirty));
+        let dirty: Vec<String> = dirty.map(|(id, _)| id.clone()).collect();
+        for id in dirty {
+            self.mark(Dirty::Job(id));
+        }
+    }
+
+    /// Notes anew which parts are at home on which page.
+    fn settle_homes(&mut self) {
+        for page in self.pages.values_mut() {
+            page.held.clear();
+            page.bytes = 0;
+        }
+        for (id, job) in &self.jobs {
+            for (n, chunk) in &job.chunks {
+                let page = chunk.home.and_then(|home| self.pages.get_mut(&home));
+                if let Some(page) = page {
+                    page.hold((id.clone(), *n), chunk.bytes(job.is_dense()));
+                }
+            }
+        }
     }
 
     fn chunk(&self, part: &(String, u32)) -> Option<&Chunk> {
@@ -78,30 +181,50 @@
             ..Page::default()
         };
         self.pages.insert(number, page);
-        for entry in record.parts {
-            let part = (entry.job.clone(), entry.part);
-            let newer = self
-                .copies
-                .get(&part)
-                .is_none_or(|(_, known)| entry.seq > known.seq);
-            if newer {
-                self.copies.insert(part, (number, entry));
+        let keep = |into: &mut HashMap<_, (u32, u64, ChunkRecord)>, part, seq, chunk| {
+            let older = |(_, known, _): &(u32, u64, ChunkRecord)| seq > *known;
+            if into.get(&part).is_none_or(older) {
+                into.insert(part, (number, seq, chunk));
+            }
+        };
+        for e in record.parts {
+            keep(&mut self.copies.wide, (e.job, e.part), e.seq, e.chunk);
+        }
+        for e in record.small {
+            match e.chunk.read() {
+                Some(chunk) => keep(&mut self.copies.small, (e.job, e.part), e.seq, chunk),
+                None => log::error!("event=part_unreadable job={} part={}", e.job, e.part),
             }
         }
     }
 
     /// Gives the open jobs the newest copies of their parts once all pages have been read.
     pub(super) fn settle_copies(&mut self) {
-        for (part, (number, entry)) in std::mem::take(&mut self.copies) {
-            let Some(job) = self.jobs.get_mut(&part.0) else {
+        let copies = std::mem::take(&mut self.copies);
+        // Whoever wrote these knew that nobody is left who can't read them.
+        self.dense |= !copies.small.is_empty();
+        for ((id, part), (page, seq, chunk)) in copies.wide {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.load_chunk(part, seq, chunk, page);
+            }
+        }
+        if self.dense {
+            for job in self.jobs.values_mut() {
+                job.split();
+            }
+        }
+        for ((id, part), (page, seq, chunk)) in copies.small {
+            let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            job.load_chunk(entry, number);
-            let bytes = job.chunks.get(&part.1).map_or(0, Chunk::bytes);
-            if let Some(page) = self.pages.get_mut(&number) {
-                page.hold(part, bytes);
+            if job.chunks.get(&part).is_none_or(|c| seq >= c.seq) {
+                job.load_chunk(part, seq, chunk, page);
             }
         }
+        for job in self.jobs.values_mut() {
+            job.count_chunks();
+        }
+        self.settle_homes();
     }
 
     /// Starts to write a page: the one that keeps least, or a new one if all are half full.
@@ -113,8 +236,8 @@
             Some((number, page)) => {
                 let parts: BTreeSet<(String, u32)> = page.held.keys().cloned().collect();
                 // What is carried along is written as it is now.
-                let bytes = parts.iter().filter_map(|p| self.chunk(p)).map(Chunk::bytes);
-                let bytes = bytes.sum();
+                let bytes = parts.iter().filter_map(|p| self.chunk(p));
+                let bytes = bytes.map(|c| c.bytes(self.dense)).sum();
                 let new = |p: &&(String, u32)| self.chunk(p).is_some_and(Chunk::has_new_places);
                 let guards = parts.iter().filter(new).map(|p| p.0.clone()).collect();
                 Draft {
@@ -150,17 +273,16 @@
             return true;
         };
         let most = self.page_bytes();
-        // A page whose parts all need a guard must still fit into a transaction.
-        let most_parts = (4 * self.settings.deployment.state.txn_ops).saturating_sub(8);
+        let most_jobs = self.page_jobs();
         let (writes, guards, bytes) = spare;
         for (n, chunk) in job.chunks.iter().filter(|(_, c)| c.dirty()) {
             let part = (id.to_string(), *n);
             if drafts.iter().any(|d| d.parts.contains(&part)) {
                 continue;
             }
-            let size = chunk.bytes();
+            let size = chunk.bytes(self.dense);
             let full = |d: &Draft| {
-                let more = d.bytes + size > most || d.parts.len() >= most_parts;
+                let more = d.bytes + size > most || d.jobs() >= most_jobs;
                 more && !d.parts.is_empty()
             };
             let fresh = drafts.last().is_none_or(full);
@@ -171,6 +293,11 @@
                     return false;
                 }
                 let draft = self.open_page(drafts);
+                // What it carries along may need guards too.
+                let used: usize = drafts.iter().map(Draft::guards).sum();
+                if used + draft.guards() > guards {
+                    return false;
+                }
                 drafts.push(draft);
             }
             // Each page has a guard of its own.
@@ -197,18 +324,26 @@
     pub(super) fn write_pages(&mut self, drafts: Vec<Draft>, flight: &mut Flight) {
         for draft in drafts {
             let mut record = PageRecord::default();
-            let mut copied: Vec<Copied> = Vec::new();
             for part in &draft.parts {
                 let Some(chunk) = self.chunk(part) else {
                     continue;
                 };
-                copied.push((part.0.clone(), part.1, chunk.seq));
-                record.parts.push(PageEntry {
-                    job: part.0.clone(),
-                    part: part.1,
-                    seq: chunk.seq,
-                    chunk: chunk.record(),
-                });
+                let (job, part, seq) = (part.0.clone(), part.1, chunk.seq);
+                let chunk = chunk.record();
+                match self.dense {
+                    true => record.small.push(SmallEntry {
+                        job,
+                        part,
+                        seq,
+                        chunk: SmallPart::from(&chunk),
+                    }),
+                    false => record.parts.push(PageEntry {
+                        job,
+                        part,
+                        seq,
+                        chunk,
+                    }),
+                }
             }
             for id in &draft.guards {
                 let version = self.jobs.get(id).map_or(0, |j| j.version);
@@ -223,7 +358,7 @@
             let guard = Guard::new(key.clone(), page.version);
             flight.txn.guards.push(guard);
             flight.txn.writes.push(Write::put(key, &record));
-            flight.add_page(draft.number, copied);
+            flight.add_page(draft.number, copies_in(&record));
         }
     }
 
@@ -232,22 +367,32 @@
         let page = self.pages.entry(number).or_default();
         page.busy = false;
         page.version = version;
-        for (id, n, seq) in copied {
-            let chunk = self.jobs.get_mut(id).and_then(|j| j.chunks.get_mut(n));
-            let Some(chunk) = chunk.filter(|c| *seq >= c.saved) else {
+        for copy in copied {
+            let Some(job) = self.jobs.get_mut(&copy.job) else {
                 continue;
             };
-            let part = (id.clone(), *n);
-            let bytes = chunk.bytes();
-            chunk.saved = *seq;
-            let old = chunk.home.replace(number);
-            if let Some(old) = old.filter(|o| *o != number) {
-                if let Some(page) = self.pages.get_mut(&old) {
-                    page.drop_part(&part);
+            let dense = job.is_dense();
+            // Written before the job's parts were split.
+            let parts = match copy.wide && dense {
+                true => job.parts_of_wide(copy.part),
+                false => copy.part..copy.part + 1,
+            };
+            for n in parts {
+                let Some(chunk) = job.chunks.get_mut(&n).filter(|c| copy.seq >= c.saved) else {
+                    continue;
+                };
+                let part = (copy.job.clone(), n);
+                let bytes = chunk.bytes(dense);
+                chunk.saved = copy.seq;
+                let old = chunk.home.replace(number);
+                if let Some(old) = old.filter(|o| *o != number) {
+                    if let Some(page) = self.pages.get_mut(&old) {
+                        page.drop_part(&part);
+                    }
+                }
+                if let Some(page) = self.pages.get_mut(&number) {
+                    page.hold(part, bytes);
                 }
-            }
-            if let Some(page) = self.pages.get_mut(&number) {
-                page.hold(part, bytes);
             }
         }
     }
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -51,38 +51,44 @@
         }
     }
 
+    /// How many times its deadline a job may take for an aim still to count it, where one says so.
+    pub(super) fn late_times(&self, job: &Job) -> Option<f64> {
+        let aims = self.settings.deployment.objectives.iter();
+        aims.filter(|o| o.kind == "deadline" && o.class.as_deref() == Some(&job.spec.class))
+            .filter_map(|o| o.times.filter(|t| *t > 1.0))
+            .next_back()
+    }
+
     /// Latest moment (time of day, ms) at which what is left of a job must start to meet the first of its aims
-    /// that it still can: its own deadline, and those of its class in the objectives.
+    /// that it still can: its own deadline, that of jobs which need it, and those of its class in the objectives.
+    /// Those count from when it may begin, a deadline from its submission.
     fn latest_start(&self, job: &Job, secs: f64, now: Now) -> u64 {
-        let age = now.unix.saturating_sub(job.at) as f64 / 1000.0;
-        let needs = START_LAG_S
-            + if job.is_gang() {
-                secs
-            } else {
-                secs * LONGEST_TASK
-            };
-        // A deadline missed may still be met by half again, where an aim says so.
-        let times = |o: &crate::settings::Objective| match o.kind.as_str() {
-            "deadline" => o.times.filter(|t| *t > 1.0),
-            _ => None,
-        };
-        let own = job.spec.due_s.map(|due| due - needs);
+        let takes = self.expected_ms(job, secs);
+        let since = |at: u64, s: f64| at + (s.max(0.0) * 1000.0) as u64;
+        let due = |times: f64| Some(since(job.at, job.spec.due_s? * times).saturating_sub(takes));
+        let reached = job.reach.and_then(|r| r.ends);
+        let reached = reached.into_iter().flat_map(|(first, last)| [first, last]);
         let of_class =
             |o: &&crate::settings::Objective| o.class.as_deref() == Some(job.spec.class.as_str());
         let aims = self.settings.deployment.objectives.iter().filter(of_class);
         let starts = aims.filter_map(|o| match (o.kind.as_str(), o.within_s) {
-            ("wait", Some(s)) => Some(s - START_LAG_S),
-            ("finished", Some(s)) => Some(s - needs),
-            _ => Some(job.spec.due_s? * times(o)? - needs),
+            ("wait", Some(s)) => Some(since(job.ready_at, s - START_LAG_S)),
+            ("finished", Some(s)) => Some(since(job.ready_at, s).saturating_sub(takes)),
+            _ => None,
         });
-        let mut starts: Vec<f64> = starts.chain(own).collect();
-        starts.sort_by(f64::total_cmp);
-        let next = starts.iter().copied().find(|s| *s >= age);
-        let start = next.unwrap_or(starts.last().copied().unwrap_or(0.0).max(0.0) + HOPELESS_S);
-        if starts.is_empty() {
-            return job.at;
-        }
-        job.at + (start.max(0.0) * 1000.0) as u64
+        let own = due(1.0).into_iter();
+        let late = self.late_times(job).and_then(due);
+        let mut starts: Vec<u64> = starts
+            .chain(own)
+            .chain(late)
+            .chain(reached.map(|end| end.saturating_sub(takes)))
+            .collect();
+        starts.sort_unstable();
+        let Some(last) = starts.last() else {
+            return job.ready_at;
+        };
+        let next = starts.iter().copied().find(|s| *s >= now.unix);
+        next.unwrap_or(since((*last).max(job.ready_at), HOPELESS_S))
     }
 
     /// Whether tasks may be sent to a machine.
@@ -167,6 +173,10 @@
         }
         let mut jobs = Vec::new();
         for (id, job) in &self.jobs {
+            // A job that waits for others is as good as not there.
+            if job.is_held() && job.placed == 0 && job.strays.is_empty() {
+                continue;
+            }
             let team = teams.number(&job.spec.team);
             if team >= view.teams.len() {
                 view.teams.push(TeamView::default());
@@ -215,7 +225,7 @@
                     task: number_of_task,
                     machine: m,
                     team,
-                    priority: job.spec.priority as u8,
+                    priority: job.priority() as u8,
                     res: task,
                     left_s: left,
                     movable: place.stop.is_none()
@@ -227,7 +237,10 @@
                         + if saves { job.spec.save_s } else { elapsed },
                 });
             }
-            let open = !job.aborted && job.pause_until <= now.mono && job.strays.is_empty();
+            let open = !job.aborted
+                && !job.is_held()
+                && job.pause_until <= now.mono
+                && job.strays.is_empty();
             let waiting = if open {
                 self.waiting_tasks(job)
             } else {
@@ -248,7 +261,7 @@
             view.jobs.push(JobView {
                 team,
                 gang: job.is_gang(),
-                priority: job.spec.priority as u8,
+                priority: job.priority() as u8,
                 task,
                 kinds: job
                     .spec
@@ -284,7 +297,7 @@
                 resting: job.is_resting(now.unix),
                 aged: {
                     let begun = job.first_run.is_some() || job.placed > 0 || job.done > 0;
-                    let age_s = now.unix.saturating_sub(job.at) as f64 / 1000.0;
+                    let age_s = now.unix.saturating_sub(job.ready_at) as f64 / 1000.0;
                     let urgent = now.unix + (URGENT_S * 1000.0) as u64 >= latest;
                     urgent || !begun && age_s > AGED_S
                 },
@@ -339,6 +352,7 @@
         let started = (self.stopwatch)();
         self.plan_due = false;
         self.rounds += 1;
+        self.pass_reach();
         let picture = self.picture(now);
         let policy = self.operator.policy();
         let stopwatch = self.stopwatch;
@@ -444,7 +458,7 @@
             let attempt = if job.is_gang() {
                 joined.unwrap_or(whole + 1)
             } else {
-                job.chunks.get(&chunk_of(task)).map_or(0, |c| c.hi) + 1
+                job.chunk(task).map_or(0, |c| c.hi) + 1
             };
             job.put(task, &machines[machine], attempt, pilot, now);
             if let Some(m) = self.machines.get_mut(&machines[machine]) {
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -521,7 +521,7 @@
             let Some(job) = self.jobs.get_mut(&id).filter(|j| !j.aborted) else {
                 continue;
             };
-            let saved = job.chunks.get(&chunk_of(task)).map_or(0, |c| c.saved);
+            let saved = job.chunk(task).map_or(0, |c| c.saved);
             let Some(place) = job.place_mut(task) else {
                 continue;
             };
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -1,7 +1,7 @@
 //! Bringing the records to what is wanted, in guarded transactions that never write twice.
 
 use super::books::*;
-use super::pages::{Copied, Draft};
+use super::pages::{copies_in, Copied, Draft};
 use super::*;
 use wire::state::{Guard, Txn, Write};
 
@@ -70,8 +70,16 @@
     /// Notes that a record is not as wanted.
     pub(super) fn mark(&mut self, what: Dirty) {
         self.lazy.remove(&what);
+        // The end of a job that others wait for goes first.
+        let first = matches!(&what, Dirty::Job(id) if self.is_awaited_end(id));
         if self.dirty.insert(what.clone()) {
-            self.dirty_order.push_back(what);
+            match first {
+                true => self.dirty_order.push_front(what),
+                false => self.dirty_order.push_back(what),
+            }
+        } else if first {
+            self.dirty_order.retain(|w| *w != what);
+            self.dirty_order.push_front(what);
         }
     }
 
@@ -147,7 +155,13 @@
                     .then(|| (part, Piece::cell(rental_key(name), cell)))
             }
             Dirty::Types => {
-                let part = Part::Types(self.types.want.clone()?);
+                let types = self.types.want.clone()?;
+                // Those last recorded do as well: they are for nodes that start without a leader.
+                if wire::json_bytes(&types) > self.limits().value_bytes {
+                    log::info!("event=types_too_long bytes={}", wire::json_bytes(&types));
+                    return None;
+                }
+                let part = Part::Types(types);
                 let mut piece = Piece::cell(TYPES.into(), &self.types);
                 piece.bytes = TXN_BYTES / 2;
                 self.types.dirty().then_some((part, piece))
@@ -160,12 +174,14 @@
     fn filing_piece(&self, id: &str) -> Option<(Part, Piece)> {
         let job = self.jobs.get(id)?;
         let end = job.final_due()?;
+        let mut writes = vec![Write::delete(job_key(id)), Write::put(final_key(id), &end)];
+        writes.extend((1..=job.more).map(|n| Write::delete(more_key(id, n))));
         let piece = Piece {
             guards: vec![
                 Guard::new(job_key(id), job.version),
                 Guard::new(final_key(id), 0),
             ],
-            writes: vec![Write::delete(job_key(id)), Write::put(final_key(id), &end)],
+            writes,
             bytes: 400,
         };
         Some((Part::Filed(id.to_string(), end), piece))
@@ -189,6 +205,9 @@
             return;
         }
         let now = mail.now.mono;
+        if now < self.invalid_until {
+            return;
+        }
         self.end_patience(now);
         let due: Vec<u64> = self
             .retries
@@ -200,7 +219,7 @@
         for number in due {
             self.send_flight(number, mail);
         }
-        let max_ops = self.settings.deployment.state.txn_ops;
+        let max_ops = self.limits().txn_ops;
         while self.flights.len() < TXN_PARALLEL && !self.dirty_order.is_empty() {
             let mut flight = Flight {
                 txn: Txn {
@@ -310,15 +329,32 @@
                 }
             }
             other => {
-                // Nothing that is written should ever be invalid; if it is, the rest must go on meanwhile.
-                log::error!("event=txn_invalid reply={other:?}");
-                self.retries
-                    .push((mail.now.mono + INVALID_RETRY_MS, number));
+                let Some(flight) = self.flights.remove(&number) else {
+                    return;
+                };
+                let over = !self.dense && self.fits_only_today(&flight.txn);
+                if over {
+                    mail.news
+                        .push(News::Proven("a size that only new limits refuse"));
+                    self.go_dense();
+                } else {
+                    // Nothing that is written should ever be invalid; if it is, the rest must go on meanwhile.
+                    log::error!("event=txn_invalid reply={other:?}");
+                    self.invalid_until = mail.now.mono + INVALID_RETRY_MS;
+                }
+                // An earlier copy of it may have been executed, or be yet: what is recorded decides.
+                self.conflicted(flight, &[], mail);
             }
         }
         self.flush(mail);
     }
 
+    /// Whether today's limits allow a transaction that those to come do not.
+    fn fits_only_today(&self, txn: &Txn) -> bool {
+        let state = &self.settings.deployment.state;
+        fits(txn, &state.now()) && !fits(txn, &state.least())
+    }
+
     /// Records turned out different from what was known: those are read again before anything is written.
     fn conflicted(&mut self, flight: Flight, failed: &[String], mail: &mut Mail) {
         log::info!(
@@ -344,10 +380,10 @@
                 Part::Types(_) => TYPES.into(),
             };
             if let Part::Page(_, copied) = &part {
-                for (id, n, seq) in copied {
-                    let chunk = self.jobs.get(id).and_then(|j| j.chunks.get(n));
-                    if chunk.is_some_and(|c| *seq > c.saved) {
-                        self.mark(Dirty::Job(id.clone()));
+                for copy in copied {
+                    let job = self.jobs.get(&copy.job);
+                    if job.is_some_and(|j| j.chunks.values().any(Chunk::dirty)) {
+                        self.mark(Dirty::Job(copy.job.clone()));
                     }
                 }
             }
@@ -386,7 +422,7 @@
         match &what {
             Dirty::Job(id) if key == job_key(id) => {
                 match item.map(|i| i.value.deserialized::<JobRecord>()) {
-                    Some(Ok(record)) => self.learn_job(id, record, version, mail.now),
+                    Some(Ok(record)) => self.learn_job(id, record, version, mail),
                     Some(Err(_)) => log::error!("event=record_unreadable key={key}"),
                     None => {
                         // Filed away: only this leader does that, so the lost answer was a yes.
@@ -401,8 +437,7 @@
             Dirty::Page(number) => {
                 // What it holds was written by this leader: the lost answer was a yes, or it is as it was.
                 let record = item.and_then(|i| i.value.deserialized::<PageRecord>().ok());
-                let parts = record.unwrap_or_default().parts.into_iter();
-                let copied: Vec<Copied> = parts.map(|e| (e.job, e.part, e.seq)).collect();
+                let copied = copies_in(&record.unwrap_or_default());
                 self.page_holds(*number, version, &copied);
             }
             Dirty::Rental(name) => {
@@ -475,16 +510,31 @@
         }
         self.leave_pages(id, &job);
         self.plan_due = true;
+        for need in &job.needs {
+            self.unfollow(need, id);
+        }
+        self.over(id, end, mail.now);
         mail.news.push(News::JobOver(id.to_string(), end));
         if self.filed[0].len() >= FINAL_CACHE / 2 {
             self.filed.swap(0, 1);
             self.filed[0].clear();
         }
-        self.filed[0].insert(id.to_string());
+        self.filed[0].insert(id.to_string(), end);
     }
 
     /// Whether a change that the watch tells late is of a job already filed away.
-    pub(super) fn is_filed(&self, id: &str) -> bool {
-        self.filed.iter().any(|f| f.contains(id))
+    pub(super) fn filed_as(&self, id: &str) -> Option<Final> {
+        self.filed.iter().find_map(|f| f.get(id)).copied()
     }
 }
+
+/// Whether a transaction stays within limits.
+fn fits(txn: &Txn, limits: &crate::settings::Limits) -> bool {
+    let value = |w: &Write| match w {
+        Write::Put { value, .. } => wire::json_bytes(value) <= limits.value_bytes,
+        Write::Delete { .. } => true,
+    };
+    txn.writes.len() <= limits.txn_ops
+        && txn.guards.len() <= 4 * limits.txn_ops
+        && txn.writes.iter().all(value)
+}
--- a/crates/control/src/leader/thrift.rs
+++ b/crates/control/src/leader/thrift.rs
@@ -148,6 +148,7 @@
         };
         let waits = |job: &&Job| {
             !job.aborted
+                && !job.is_held()
                 && u64::from(job.placed) + job.done < job.spec.tasks
                 && job.fails == 0
                 && !job.is_resting(now.unix)
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,6 +13,7 @@
 mod peers;
 pub mod settings;
 mod state;
+mod upgrade;
 
 pub use mail::{CallError, CallId, Input, Now, Output, RequestId, Target};
 pub use node::Node;
--- a/crates/control/src/mail.rs
+++ b/crates/control/src/mail.rs
@@ -120,6 +120,7 @@
     /// Proof of many answers at once.
     Proof(u64),
     Types,
+    Upgrade,
     Leader(u64, crate::leader::Ask),
 }
 
@@ -140,6 +141,10 @@
     JobOver(String, Final),
     /// A user is about to be told that a job is cancelled.
     Aborted(String),
+    /// Nobody is left who could not read what is new.
+    Upgraded,
+    /// Something shows that the upgrade is over.
+    Proven(&'static str),
     /// Machine types were read or changed.
     Types(Vec<wire::cloud::MachineType>),
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -8,6 +8,7 @@
 use crate::peers::{PeerState, Peers};
 use crate::settings::{Operator, Settings};
 use crate::state::{Priority, StateClient, StateOp, StateReply};
+use crate::upgrade::Upgrade;
 use constants::*;
 use std::collections::{HashMap, VecDeque};
 use wire::peers::{JobNews, PeerMessage};
@@ -29,6 +30,7 @@
     cloud: CloudClient,
     election: Election,
     gateway: Gateway,
+    upgrade: Upgrade,
     leader: Option<Leader>,
     /// Reports whose answers wait.
     held: Vec<(RequestId, Held)>,
@@ -83,7 +85,11 @@
             state: StateClient::new(d.state.rps, d.state.write_rps),
             cloud: CloudClient::new(d.cloud.rps),
             election: Election::new(&settings.label, boot),
-            gateway: Gateway::new(d.teams.clone(), d.state.txn_ops),
+            gateway: Gateway::new(d.teams.clone(), &d.state),
+            upgrade: Upgrade::new(
+                &settings.label,
+                settings.siblings.iter().map(|s| s.label.clone()),
+            ),
             leader: None,
             held: Vec::new(),
             limbo: Vec::new(),
@@ -141,6 +147,7 @@
             at = at.min(self.next_release);
         }
         at = at.min(self.gateway.next_wake());
+        at = at.min(self.upgrade.next_wake());
         at.max(self.last_now.mono + 1)
     }
 
@@ -168,6 +175,7 @@
         let mut mail = Mail::new(now);
         self.election.tick(&mut mail);
         self.gateway.tick(&mut mail);
+        self.upgrade.tick(&mut mail);
         let active = self.active(now.mono);
         if let Some(leader) = &mut self.leader {
             leader.tick(active, &mut mail);
@@ -457,6 +465,7 @@
             StateTag::Election(step) => self.election.on_reply(step, reply, mail),
             StateTag::User(number) => self.gateway.on_reply(number, reply, mail),
             StateTag::Proof(number) => self.gateway.on_proof(number, reply, mail),
+            StateTag::Upgrade => self.upgrade.on_reply(reply, mail),
             StateTag::Types => {
                 self.types_busy = false;
                 self.next_types = mail.now.mono + LEADER_POLL_MS;
@@ -648,6 +657,7 @@
                     self.stopwatch,
                     term,
                     version,
+                    self.upgrade.is_over(),
                     mail.now,
                 );
                 leader.tick(false, mail);
@@ -673,6 +683,14 @@
                 });
             }
             News::JobOver(job, end) => self.over.push((job, end == Final::Done)),
+            News::Proven(why) => self.upgrade.proven(why, mail),
+            News::Upgraded => {
+                let least = self.settings.deployment.state.least();
+                self.state.hold_to(least.rps, least.write_rps);
+                if let Some(leader) = self.leader.as_mut() {
+                    leader.upgraded(mail);
+                }
+            }
             News::Types(_) => {}
         }
     }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -126,6 +126,64 @@
     pub value_kb: f64,
     /// Writes of a transaction.
     pub txn_ops: usize,
+    /// Limits that hold from some moment after an upgrade, without notice.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+/// Limits of the state service to come; what is not named stays.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct NextLimits {
+    /// Requests a second.
+    #[serde(default)]
+    pub rps: Option<f64>,
+    /// Writes a second.
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    /// Size of a value in KiB.
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    /// Writes of a transaction.
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+/// Limits that writes are held to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limits {
+    /// Requests a second.
+    pub rps: f64,
+    /// Writes a second.
+    pub write_rps: f64,
+    /// Bytes of a value.
+    pub value_bytes: usize,
+    /// Writes of a transaction; conditions may be four times as many.
+    pub txn_ops: usize,
+}
+
+impl StateLimits {
+    /// Today's limits.
+    pub fn now(&self) -> Limits {
+        Limits {
+            rps: self.rps,
+            write_rps: self.write_rps,
+            value_bytes: (self.value_kb * 1024.0) as usize,
+            txn_ops: self.txn_ops,
+        }
+    }
+
+    /// The smaller of today's limits and those to come: what holds at any time.
+    pub fn least(&self) -> Limits {
+        let now = self.now();
+        let next = self.next.clone().unwrap_or_default();
+        let kb = next.value_kb.unwrap_or(self.value_kb);
+        Limits {
+            rps: now.rps.min(next.rps.unwrap_or(now.rps)),
+            write_rps: now.write_rps.min(next.write_rps.unwrap_or(now.write_rps)),
+            value_bytes: now.value_bytes.min((kb * 1024.0) as usize),
+            txn_ops: now.txn_ops.min(next.txn_ops.unwrap_or(now.txn_ops)),
+        }
+    }
 }
 
 /// Cloud's limits.
@@ -196,6 +254,19 @@
         if d.state.txn_ops < 4 {
             return Err("deployment.state.txn_ops: must be at least 4".into());
         }
+        let next = d.state.next.clone().unwrap_or_default();
+        for (name, v) in [
+            ("deployment.state.next.rps", next.rps),
+            ("deployment.state.next.write_rps", next.write_rps),
+        ] {
+            positive(name, v.unwrap_or(1.0))?;
+        }
+        if !next.value_kb.is_none_or(|v| v.is_finite() && v >= 1.0) {
+            return Err("deployment.state.next.value_kb: must be at least 1".into());
+        }
+        if next.txn_ops.is_some_and(|n| n < 4) {
+            return Err("deployment.state.next.txn_ops: must be at least 4".into());
+        }
         if d.quota.max_connections < 32 {
             return Err("deployment.quota.max_connections: must be at least 32".into());
         }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -75,6 +75,13 @@
         self.at = now;
     }
 
+    /// Goes on at another rate.
+    pub fn set(&mut self, rate: f64, burst: f64) {
+        self.rate = rate;
+        self.burst = burst.max(1.0);
+        self.level = self.level.min(self.burst);
+    }
+
     /// Takes `n`; a request larger than the burst is let through when the bucket is full.
     pub fn take(&mut self, now: u64, n: f64) -> bool {
         self.refill(now);
@@ -114,6 +121,18 @@
     last_bad: u64,
 }
 
+/// Rate and burst of one node's requests, its users' writes and its bookkeeping.
+fn shares(rps: f64, write_rps: f64) -> [(f64, f64); 3] {
+    let requests = rps * STATE_RPS_SHARE;
+    let users = write_rps * USER_WRITE_SHARE;
+    let books = write_rps * STATE_WRITE_SHARE;
+    [
+        (requests, requests * 0.5),
+        (users, write_rps * USER_WRITE_BURST),
+        (books, books * 0.5),
+    ]
+}
+
 fn writes_of(op: &StateOp) -> f64 {
     match op {
         StateOp::Txn(txn) => txn.writes.len() as f64,
@@ -123,13 +142,11 @@
 
 impl StateClient {
     pub fn new(rps: f64, write_rps: f64) -> Self {
-        let share = rps * STATE_RPS_SHARE;
-        let books = write_rps * STATE_WRITE_SHARE;
-        let users = write_rps * USER_WRITE_SHARE;
+        let [requests, users, books] = shares(rps, write_rps);
         StateClient {
-            requests: Bucket::new(share, share * 0.5),
-            user_writes: Bucket::new(users, write_rps * USER_WRITE_BURST),
-            book_writes: Bucket::new(books, books * 0.5),
+            requests: Bucket::new(requests.0, requests.1),
+            user_writes: Bucket::new(users.0, users.1),
+            book_writes: Bucket::new(books.0, books.1),
             queues: Default::default(),
             inflight: HashMap::new(),
             paused_until: 0,
@@ -139,6 +156,14 @@
         }
     }
 
+    /// Shares out these limits of the state service from now on.
+    pub fn hold_to(&mut self, rps: f64, write_rps: f64) {
+        let [requests, users, books] = shares(rps, write_rps);
+        self.requests.set(requests.0, requests.1);
+        self.user_writes.set(users.0, users.1);
+        self.book_writes.set(books.0, books.1);
+    }
+
     /// Whether requests have lately been answered well.
     pub fn is_up(&self, now: u64) -> bool {
         self.last_good > 0
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -114,6 +114,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         due_s: None,
+        needs: Vec::new(),
     }
 }
 
--- a/crates/vetchmount/src/settings.rs
+++ b/crates/vetchmount/src/settings.rs
@@ -82,6 +82,31 @@
     #[test]
     fn good_settings_pass_and_bad_ones_name_the_field() {
         assert!(parse(GOOD).is_ok());
+        let next = |text: &str| {
+            let with = format!("[deployment.state.next]\n{text}\n[deployment.cloud]");
+            parse(&GOOD.replace("[deployment.cloud]", &with))
+        };
+        let larger = next("value_kb = 64.0\ntxn_ops = 40\nunheard_of = 1").expect("allowed");
+        assert_eq!(larger.deployment.state.least().txn_ops, 12);
+        assert_eq!(
+            next("value_kb = 2.0")
+                .expect("ok")
+                .deployment
+                .state
+                .least()
+                .value_bytes,
+            2048
+        );
+        for (text, field) in [
+            ("value_kb = 0.0", "state.next.value_kb"),
+            ("value_kb = inf", "state.next.value_kb"),
+            ("txn_ops = 3", "state.next.txn_ops"),
+            ("write_rps = -1.0", "state.next.write_rps"),
+            ("txn_ops = -1", "txn_ops"),
+        ] {
+            let why = next(text).expect_err(text);
+            assert!(why.contains(field), "{why} should name {field}");
+        }
         for (from, to, field) in [
             ("lease_s = 12.0", "", "lease_s"),
             (
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -32,3 +32,23 @@
     }
     out
 }
+
+/// Bytes of a message in JSON, the form in which the outside counts sizes.
+pub fn json_bytes<T: Serialize>(message: &T) -> usize {
+    struct Count(usize);
+    impl std::io::Write for Count {
+        fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+            self.0 += buf.len();
+            Ok(buf.len())
+        }
+        fn flush(&mut self) -> std::io::Result<()> {
+            Ok(())
+        }
+    }
+    let mut count = Count(0);
+    // What can't be written as JSON has no size that would be allowed.
+    match serde_json::to_writer(&mut count, message) {
+        Ok(()) => count.0,
+        Err(_) => usize::MAX,
+    }
+}
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -1,8 +1,11 @@
 //! What the controllers keep in the state service, and under which keys.
 
-use crate::users::Submission;
+use crate::users::{Submission, ID_PREFIX};
 use serde::{Deserialize, Serialize};
 
+mod small;
+pub use small::{SmallEntry, SmallPart};
+
 /// Key of the leader's record, attached to its lease.
 pub const LEADER: &str = "lead";
 /// Key of the term, which outlives leaders.
@@ -18,6 +21,35 @@
 /// Prefix of rental requests.
 pub const RENTALS: &str = "r/";
 
+/// Prefix of what does not fit into open jobs' own records. Unknown to the version before the pipelines.
+pub const MORE: &str = "x/";
+/// Prefix of both the next, and the key of the mark.
+pub const GENERATIONS: &str = "v";
+/// Prefix of the generation that each node runs, written once it does. Unknown to the version before the pipelines.
+pub const NODES: &str = "v/";
+/// Key of the mark: the generation that every node is known to run, which never goes back.
+pub const MARK: &str = "vmark";
+
+/// Generation of this version: what it may write once all nodes are known to read it.
+pub const GENERATION: u32 = 1;
+
+/// A generation, of a node or of all.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GenerationRecord {
+    /// Number, which only grows.
+    pub generation: u32,
+}
+
+/// Key of a node's generation.
+pub fn node_key(label: &str) -> String {
+    format!("{NODES}{label}")
+}
+
+/// Key of a part of what does not fit into an open job's record, from 1 on.
+pub fn more_key(id: &str, number: u32) -> String {
+    format!("{MORE}{id}/{number}")
+}
+
 /// Key of an open job.
 pub fn job_key(id: &str) -> String {
     format!("{JOBS}{id}")
@@ -58,14 +90,69 @@
 
 /// A job that is not over.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(from = "StoredJob", into = "StoredJob")]
 pub struct JobRecord {
-    /// What was submitted.
+    /// What was submitted, without what `more` records hold.
     pub spec: Submission,
     /// Time of day of its acceptance, in milliseconds.
     pub at: u64,
     /// Whether its user has cancelled it.
-    #[serde(default)]
     pub aborted: bool,
+    /// Number of further records, [`MoreRecord`].
+    pub more: u32,
+}
+
+/// A job's record as it is stored: the names of needed jobs are written without what they all begin with, so that a
+/// hundred of them fit into a small value.
+#[derive(Serialize, Deserialize)]
+struct StoredJob {
+    spec: Submission,
+    at: u64,
+    #[serde(default)]
+    aborted: bool,
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    needs: String,
+    #[serde(default, skip_serializing_if = "is_zero")]
+    more: u32,
+}
+
+fn is_zero(n: &u32) -> bool {
+    *n == 0
+}
+
+impl From<StoredJob> for JobRecord {
+    fn from(stored: StoredJob) -> Self {
+        let mut spec = stored.spec;
+        let names = stored.needs.split(' ').filter(|n| !n.is_empty());
+        spec.needs.extend(names.map(|n| format!("{ID_PREFIX}{n}")));
+        JobRecord {
+            spec,
+            at: stored.at,
+            aborted: stored.aborted,
+            more: stored.more,
+        }
+    }
+}
+
+impl From<JobRecord> for StoredJob {
+    fn from(mut record: JobRecord) -> Self {
+        let needs = std::mem::take(&mut record.spec.needs);
+        let names = needs.iter().map(|n| n.trim_start_matches(ID_PREFIX));
+        StoredJob {
+            needs: names.collect::<Vec<_>>().join(" "),
+            spec: record.spec,
+            at: record.at,
+            aborted: record.aborted,
+            more: record.more,
+        }
+    }
+}
+
+/// What does not fit into an open job's own record.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct MoreRecord {
+    /// Further allowed machine types.
+    pub types: Vec<String>,
 }
 
 /// How a job ended.
@@ -118,6 +205,9 @@
 pub struct PageRecord {
     /// Its entries.
     pub parts: Vec<PageEntry>,
+    /// Its entries in the dense form, which the version before the pipelines can't read.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub small: Vec<SmallEntry>,
 }
 
 /// A rental request whose machines the cloud's list may not show yet. Asked for again under its name, it tells
--- a/crates/wire/src/users.rs
+++ b/crates/wire/src/users.rs
@@ -1,6 +1,6 @@
 //! What users say to the controllers.
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 /// Kind of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -88,13 +88,27 @@
     /// Seconds from submission until the job should be complete.
     #[serde(default)]
     pub due_s: Option<f64>,
+    /// Jobs that must be done before any task of this one starts.
+    #[serde(
+        rename = "awaits",
+        default,
+        deserialize_with = "null_is_none",
+        skip_serializing_if = "Vec::is_empty"
+    )]
+    pub needs: Vec<String>,
+}
+
+/// A list that may be null.
+fn null_is_none<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<String>, D::Error> {
+    Ok(Option::deserialize(from)?.unwrap_or_default())
 }
 
 /// Largest number of tasks of a job.
 pub const MAX_TASKS: u64 = 100_000;
 const MAX_TEXT: usize = 128;
 const MAX_TYPES: usize = 64;
-const ID_PREFIX: &str = "run-";
+/// What every job id begins with.
+pub const ID_PREFIX: &str = "run-";
 
 /// Whether `id` has the form of a job id.
 pub fn is_job_id(id: &str) -> bool {
@@ -103,6 +117,12 @@
 }
 
 impl Submission {
+    /// Drops names of needed jobs that come twice.
+    pub fn dedup_needs(&mut self) {
+        let mut seen = std::collections::HashSet::new();
+        self.needs.retain(|id| seen.insert(id.clone()));
+    }
+
     /// The first field whose value is not allowed.
     pub fn invalid_field(&self) -> Option<&'static str> {
         let amount = |v: f64| v.is_finite() && v >= 0.0;
--- a/crates/wire/tests/production.rs
+++ b/crates/wire/tests/production.rs
@@ -162,6 +162,7 @@
         spec: submission(),
         at: 1_700_000_000_000,
         aborted: false,
+        more: 0,
     };
     let page = PageRecord {
         parts: vec![PageEntry {
@@ -357,18 +358,6 @@
         checkpoint_s: 30.0,
         save_s: 4.0,
         due_s: None,
-    }
-}
-
-#[test]
-#[ignore = "prints the golden bytes"]
-fn print_golden() {
-    for (name, bytes) in records() {
-        println!("R {name} {}", hex(&bytes));
-    }
-    for (name, message) in frames() {
-        let mut bytes = Vec::new();
-        encode_frame(&mut bytes, &message);
-        println!("F {name} {}", hex(&bytes));
+        needs: Vec::new(),
     }
 }
