--- a/crates/control/src/gateway/proofs.rs
+++ b/crates/control/src/gateway/proofs.rs
@@ -120,7 +120,7 @@
                     let Some(t) = self.tickets.get_mut(&number) else {
                         continue;
                     };
-                    let todo = t.todo.get_or_insert_default();
+                    let todo = t.todo.get_or_insert_with(Keys::new);
                     todo.retain(|id, version| keys.get(id) != Some(version));
                     if !todo.is_empty() {
                         self.proving.push_front(number);
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -410,7 +410,7 @@
                     .split_once('/')
                     .and_then(|(id, _)| self.jobs.get_mut(id));
                 if let Some(job) = job.filter(|j| j.more > 0) {
-                    job.spec.types.get_or_insert_default().extend(r.types);
+                    job.spec.types.get_or_insert_with(Vec::new).extend(r.types);
                 }
             }),
             PAGES => value.deserialized::<PageRecord>().map(|r| {
--- a/crates/control/src/leader/pipelines.rs
+++ b/crates/control/src/leader/pipelines.rs
@@ -143,12 +143,12 @@
             }
         }
         while self.pipes.looking.len() < LOOKUPS {
-            let due = self
-                .pipes
-                .lookups
-                .front()
-                .is_some_and(|(at, _)| now.mono >= *at);
-            let Some((_, id)) = self.pipes.lookups.pop_front().filter(|_| due) else {
+            // What is not due stays where it is.
+            let next = self.pipes.lookups.front();
+            if next.is_none_or(|(at, _)| now.mono < *at) {
+                break;
+            }
+            let Some((_, id)) = self.pipes.lookups.pop_front() else {
                 break;
             };
             let known = self.jobs.contains_key(&id) || !self.pipes.needed_by.contains_key(&id);
@@ -222,7 +222,11 @@
         };
         let next = match more {
             Some(more) => {
-                record.spec.types.get_or_insert_default().extend(more.types);
+                record
+                    .spec
+                    .types
+                    .get_or_insert_with(Vec::new)
+                    .extend(more.types);
                 number + 1
             }
             // Refused or lost; these records go with the job's own and never change.
--- a/crates/control/tests/stories.rs
+++ b/crates/control/tests/stories.rs
@@ -1,99 +1,13 @@
 //! Short stories: a whole small world in memory, with something going wrong in each.
 
+mod common;
+
+use common::*;
 use fakes::{array, gang, Behaviour, World};
-use vetchmount_control::Settings;
 use wire::records::*;
 use wire::users::{Phase, Shape};
 use wire::workers::{Cause, ReportAnswer, TaskPhase, TaskReport};
 
-const DEPLOYMENT: &str = r#"
-zones = ["a", "b"]
-[[teams]]
-name = "t"
-gpus = 0.0
-gpus_max = GPUS_MAX
-[[objectives]]
-kind = "wait"
-within_s = 10.0
-[workers]
-report_s = 2.0
-lease_s = 12.0
-gang_wait_s = 35.0
-gang_peer_s = 8.0
-cancel_s = 30.0
-[state]
-rps = 150.0
-write_rps = 50.0
-value_kb = 16.0
-txn_ops = 12
-[cloud]
-rps = 5.0
-list_lag_s = 3.0
-[quota]
-cpu = 0.1
-mem_mb = 72.0
-max_connections = 1200
-"#;
-
-fn settings(i: usize, nodes: usize, gpus_max: f64) -> Settings {
-    let mut text = format!(
-        "label = \"n{i}\"\narea = \"a\"\npublic_addr = \"10.0.0.{i}:1\"\nback = \"10.0.0.{i}:2\"\n\
-         [outside]\ncloud = \"10.0.1.1:1\"\nstate = \"10.0.1.2:1\"\n"
-    );
-    for j in (0..nodes).filter(|j| *j != i) {
-        text += &format!("[[siblings]]\nlabel = \"n{j}\"\narea = \"a\"\naddr = \"10.0.0.{j}:2\"\n");
-    }
-    let deployment: toml::Value =
-        toml::from_str(&DEPLOYMENT.replace("GPUS_MAX", &format!("{gpus_max:.1}")))
-            .expect("deployment");
-    let mut all: toml::Table = toml::from_str(&text).expect("settings");
-    all.insert("deployment".into(), deployment);
-    let settings: Settings = all.try_into().expect("settings");
-    settings.validate().expect("valid");
-    settings
-}
-
-/// A world with a leader, machines that are known, and machine types that every node has read.
-fn world(nodes: usize, machines: usize, gpus_max: f64) -> World {
-    let mut w = World::new(nodes, |i| settings(i, nodes, gpus_max));
-    for m in 0..machines {
-        w.add_machine(&format!("vm-{m:06}"), if m % 2 == 0 { "a" } else { "b" });
-    }
-    assert!(w.until(6_000, |w| w.leader().is_some()), "a leader");
-    w.run(4_000);
-    w
-}
-
-fn runs(run_ms: u64) -> Behaviour {
-    Behaviour {
-        fetch_ms: 300,
-        run_ms,
-        save_ms: 0,
-        gang: 0,
-        fails: false,
-    }
-}
-
-fn clean(w: &World) {
-    assert!(w.broken.is_empty(), "rules broken: {:?}", &w.broken);
-}
-
-fn done(w: &mut World, id: &str, ms: u64) -> bool {
-    w.until(ms, |w| w.phase(0, id) == Some(Phase::Done))
-}
-
-/// All copies of parts of jobs in the records.
-fn parts(w: &World) -> Vec<PageEntry> {
-    let pages = w.state.keys(PAGES).into_iter();
-    let read = pages.filter_map(|key| w.state.read::<PageRecord>(&key));
-    read.flat_map(|p| p.parts).collect()
-}
-
-fn follower(w: &World) -> usize {
-    let leader = w.leader().expect("leader");
-    usize::from(leader == 0)
-}
-
 #[test]
 fn a_job_runs_and_stays_done_for_every_node_and_after_every_restart() {
     let mut w = world(3, 2, 0.0);
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -4,12 +4,13 @@
 mod state;
 mod worker;
 
-pub use state::FakeState;
+pub use state::{FakeLimits, FakeState};
 pub use worker::{Behaviour, FakeTask, FakeWorker};
 
 use control::{CallError, Input, Node, Now, Operator, Output, Settings, Target};
 use std::collections::{BTreeMap, BTreeSet};
 use wire::cloud::*;
+use wire::records::{final_key, Final};
 use wire::users::*;
 use wire::workers::*;
 
@@ -165,6 +166,9 @@
             broken: Vec::new(),
             rentals: Vec::new(),
         };
+        if let Some(first) = world.settings.first() {
+            world.state.limits = Some(limits_of(&first.deployment.state.now()));
+        }
         for i in 0..nodes {
             world.nodes.push(Slot {
                 node: None,
@@ -175,6 +179,12 @@
         world
     }
 
+    /// The state service has its new limits from now on.
+    pub fn lower_limits(&mut self) {
+        let least = self.settings[0].deployment.state.least();
+        self.state.limits = Some(limits_of(&least));
+    }
+
     fn clock(&self) -> Now {
         Now {
             mono: self.now,
@@ -295,7 +305,40 @@
         if status != 200 {
             return None;
         }
-        wire::decode::<JobStatus>(&body).ok().map(|s| s.phase)
+        let phase = wire::decode::<JobStatus>(&body).ok().map(|s| s.phase);
+        self.check_orphan(id, phase);
+        phase
+    }
+
+    /// Jobs before a job, directly or through others.
+    fn before(&self, id: &str) -> BTreeSet<String> {
+        let mut all = BTreeSet::new();
+        let mut stack = vec![id.to_string()];
+        while let Some(id) = stack.pop() {
+            for need in self.jobs.get(&id).into_iter().flat_map(|j| &j.needs) {
+                if all.insert(need.clone()) {
+                    stack.push(need.clone());
+                }
+            }
+        }
+        all
+    }
+
+    /// A job behind one whose user was told long ago that it is cancelled must not be called open.
+    fn check_orphan(&mut self, id: &str, phase: Option<Phase>) {
+        if !matches!(phase, Some(Phase::Queued | Phase::Running)) {
+            return;
+        }
+        let cancel_ms = (self.settings[0].deployment.workers.cancel_s * 1000.0) as u64;
+        for need in self.before(id) {
+            if self
+                .cancelled
+                .get(&need)
+                .is_some_and(|at| self.now > at + cancel_ms)
+            {
+                self.broken.push(format!("orphaned {id} behind {need}"));
+            }
+        }
     }
 
     /// Cancels a job.
@@ -692,7 +735,8 @@
         }
     }
 
-    /// Looks for broken rules: a task on two machines, a team over its limit, a cancelled job on a machine.
+    /// Looks for broken rules: a task on two machines, a team over its limit, a cancelled job on a machine, a task
+    /// that started before what its job needs was done.
     fn check(&mut self) {
         let mut seen: BTreeMap<&str, &str> = BTreeMap::new();
         let mut broken = Vec::new();
@@ -710,6 +754,12 @@
                 }
                 let job = task.split('/').next().unwrap_or_default();
                 gpus += self.jobs.get(job).map_or(0.0, |j| j.gpus);
+                for need in self.jobs.get(job).into_iter().flat_map(|j| &j.needs) {
+                    let end = self.state.read::<Final>(&final_key(need));
+                    if end != Some(Final::Done) {
+                        broken.push(format!("too_early {task} before {need}"));
+                    }
+                }
                 let told = self.cancelled.get(job);
                 if told.is_some_and(|at| self.now > at + cancel_ms) {
                     broken.push(format!("ran_cancelled {task} try {attempt}"));
@@ -723,6 +773,14 @@
     }
 }
 
+fn limits_of(limits: &control::settings::Limits) -> FakeLimits {
+    FakeLimits {
+        value_bytes: limits.value_bytes,
+        txn_ops: limits.txn_ops,
+        write_rps: limits.write_rps,
+    }
+}
+
 fn behave(jobs: &BTreeMap<String, Behaviour>, task: &str) -> Option<Behaviour> {
     jobs.get(task.split('/').next()?).copied()
 }
--- a/crates/fakes/src/state.rs
+++ b/crates/fakes/src/state.rs
@@ -18,9 +18,28 @@
     until: u64,
 }
 
+/// What it takes at most.
+#[derive(Debug, Clone, Copy)]
+pub struct FakeLimits {
+    /// Bytes of a value, as JSON.
+    pub value_bytes: usize,
+    /// Changes of a transaction, and a quarter of its conditions.
+    pub txn_ops: usize,
+    /// Changes a second.
+    pub write_rps: f64,
+}
+
 /// Keys, leases and changes.
 #[derive(Default)]
 pub struct FakeState {
+    /// Limits, if any; may be lowered at any time.
+    pub limits: Option<FakeLimits>,
+    /// Changes that may still be made at once, and when that was reckoned.
+    allowance: (f64, u64),
+    /// Transactions refused as too large, and for their rate.
+    pub too_large: u64,
+    /// See above.
+    pub too_many: u64,
     entries: BTreeMap<String, Entry>,
     leases: BTreeMap<u64, (u64, u64)>,
     log: Vec<Change>,
@@ -47,6 +66,39 @@
         self.entries.get(key)?.value.deserialized().ok()
     }
 
+    /// Writes a record past all conditions, as another process would that this world does not run.
+    pub fn write<T: serde::Serialize>(&mut self, key: &str, record: &T, lease: Option<u64>) {
+        let value = to_value(record);
+        let key = key.to_string();
+        let writes = vec![Write::Put { key, value, lease }];
+        self.commit(Txn {
+            guards: Vec::new(),
+            writes,
+        });
+    }
+
+    /// Version of a key, 0 if there is none.
+    pub fn version(&self, key: &str) -> u64 {
+        self.entries.get(key).map_or(0, |e| e.version)
+    }
+
+    /// Removes a key past all conditions.
+    pub fn erase(&mut self, key: &str) {
+        self.commit(Txn {
+            guards: Vec::new(),
+            writes: vec![Write::delete(key)],
+        });
+    }
+
+    /// Bytes of the largest value under a prefix.
+    pub fn largest(&self, prefix: &str) -> usize {
+        let under = self.entries.iter().filter(|(k, _)| k.starts_with(prefix));
+        under
+            .map(|(_, e)| wire::json_bytes(&e.value))
+            .max()
+            .unwrap_or(0)
+    }
+
     /// Keys under a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let under = self.entries.keys().filter(|k| k.starts_with(prefix));
@@ -113,7 +165,10 @@
         let path = target.split('?').next().unwrap_or_default();
         if method == "POST" && path == "/multi" {
             return Some(match wire::decode(body) {
-                Ok(txn) => self.commit(txn),
+                Ok(txn) => match self.refusal(now, &txn) {
+                    Some(status) => (status, vec![]),
+                    None => self.commit(txn),
+                },
                 Err(_) => (400, vec![]),
             });
         }
@@ -186,6 +241,27 @@
         }
     }
 
+    /// Status of a transaction that goes beyond the limits.
+    fn refusal(&mut self, now: u64, txn: &Txn) -> Option<u16> {
+        let limits = self.limits?;
+        let large = |w: &Write| match w {
+            Write::Put { value, .. } => wire::json_bytes(value) > limits.value_bytes,
+            Write::Delete { .. } => false,
+        };
+        let many = txn.writes.len() > limits.txn_ops || txn.guards.len() > 4 * limits.txn_ops;
+        if many || txn.writes.iter().any(large) {
+            self.too_large += 1;
+            return Some(400);
+        }
+        let passed = now.saturating_sub(self.allowance.1) as f64 / 1000.0;
+        let level = (self.allowance.0 + passed * limits.write_rps).min(limits.write_rps);
+        let wanted = txn.writes.len() as f64;
+        let granted = level + 1e-9 >= wanted;
+        self.allowance = (level - if granted { wanted } else { 0.0 }, now);
+        self.too_many += u64::from(!granted);
+        (!granted).then_some(429)
+    }
+
     fn commit(&mut self, txn: Txn) -> (u16, Vec<u8>) {
         let version = |key: &str| self.entries.get(key).map_or(0, |e| e.version);
         let failed: Vec<String> = txn
