--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -61,6 +61,12 @@
 pub const USER_WRITE_BURST: f64 = 0.6;
 /// Milliseconds to wait after the state service's rate limit was hit: it lets the next through within less.
 pub const RATE_RETRY_MS: u64 = 80;
+/// Share of its rate of writes that bookkeeping keeps each time the rate limit was hit: users' writes come first.
+pub const STRAIN_CUT: f64 = 0.9;
+/// Share below which it does not fall by that.
+pub const STRAIN_LEAST: f64 = 0.6;
+/// Share that comes back a second.
+pub const STRAIN_EASE: f64 = 0.05;
 /// Records of a listing asked for at a time; each page has to be decoded in one go.
 pub const LIST_PAGE: u32 = 200;
 /// Tasks of a part of a job as the version before the pipelines reads it: some 6 KiB at worst.
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -116,6 +116,9 @@
     queues: [VecDeque<Waiting>; 3],
     inflight: HashMap<CallId, (StateOp, StateTag)>,
     paused_until: u64,
+    /// Rate and burst that bookkeeping may have, what share of the rate it takes, and when that was reckoned.
+    books: (f64, f64),
+    strain: (f64, u64),
     wake: Option<u64>,
     last_good: u64,
     last_bad: u64,
@@ -150,6 +153,8 @@
             queues: Default::default(),
             inflight: HashMap::new(),
             paused_until: 0,
+            books,
+            strain: (1.0, 0),
             wake: None,
             last_good: 0,
             last_bad: 0,
@@ -161,7 +166,23 @@
         let [requests, users, books] = shares(rps, write_rps);
         self.requests.set(requests.0, requests.1);
         self.user_writes.set(users.0, users.1);
-        self.book_writes.set(books.0, books.1);
+        self.books = books;
+        self.book_writes.set(books.0 * self.strain.0, books.1);
+    }
+
+    /// The rate limit was hit, which nodes share and which may have fallen without notice: bookkeeping takes less for
+    /// a while.
+    fn ease(&mut self, now: u64, hit: bool) {
+        let (share, at) = self.strain;
+        let passed = now.saturating_sub(at) as f64 / 1000.0;
+        let mut next = (share + passed * STRAIN_EASE).min(1.0);
+        if hit && now >= at + RATE_RETRY_MS {
+            next = (next * STRAIN_CUT).max(STRAIN_LEAST);
+        } else if hit || next == share {
+            return;
+        }
+        self.strain = (next, now);
+        self.book_writes.set(self.books.0 * next, self.books.1);
     }
 
     /// Whether requests have lately been answered well.
@@ -194,6 +215,7 @@
     ) {
         let now = mail.now.mono;
         self.wake = None;
+        self.ease(now, false);
         for p in 0..self.queues.len() {
             while let Some(first) = self.queues[p].front() {
                 if p == Priority::User as usize && now > first.since + USER_DEADLINE_MS {
@@ -254,6 +276,9 @@
                 // A watch that breaks says little: it may just have been open while the connection went. And a
                 // rate limit that was hit is no outage: users need not be turned away for it.
                 let limited = matches!(result, Ok((429, _)));
+                if limited && writes_of(&op) > 0.0 {
+                    self.ease(now.mono, true);
+                }
                 if !matches!(op, StateOp::Watch { .. }) && !limited {
                     self.last_bad = now.mono;
                 }
@@ -360,3 +385,37 @@
     // A body that can't be read leaves open what was done.
     read.unwrap_or(StateReply::Unknown)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// At a limit that has fallen unannounced, bookkeeping and users would go on turning each other away.
+    #[test]
+    fn bookkeeping_takes_less_when_the_rate_limit_is_hit_and_more_again_later() {
+        let mut client = StateClient::new(100.0, 50.0);
+        let full = client.book_writes.rate;
+        let txn = |client: &mut StateClient, at: u64, status: u16| {
+            let op = StateOp::Txn(Txn {
+                guards: vec![],
+                writes: vec![Write::delete("k")],
+            });
+            client.inflight.insert(1, (op, StateTag::Types));
+            let now = Now { mono: at, unix: at };
+            client.on_reply(now, 1, &Ok((status, vec![])));
+        };
+        for n in 1..40 {
+            txn(&mut client, n * 100, 429);
+        }
+        assert!(client.book_writes.rate < 0.7 * full);
+        assert!(client.book_writes.rate > 0.5 * full);
+        // Seen as an outage it is not: users are not turned away for it.
+        assert_eq!(client.last_bad, 0);
+        let mut mail = Mail::new(Now {
+            mono: 60_000,
+            unix: 60_000,
+        });
+        client.pump(&mut 1, &mut mail, &mut Vec::new());
+        assert!((client.book_writes.rate - full).abs() < 1e-6);
+    }
+}
