--- a/crates/control/src/leader/pages.rs
+++ b/crates/control/src/leader/pages.rs
@@ -372,11 +372,8 @@
                 continue;
             };
             let dense = job.is_dense();
-            // Written before the job's parts were split.
-            let parts = match copy.wide && dense {
-                true => job.parts_of_wide(copy.part),
-                false => copy.part..copy.part + 1,
-            };
+            // It may have been written before the job's parts were split.
+            let parts = job.parts_in(copy.part, copy.wide);
             for n in parts {
                 let Some(chunk) = job.chunks.get_mut(&n).filter(|c| copy.seq >= c.saved) else {
                     continue;
--- a/crates/control/tests/pipelines.rs
+++ b/crates/control/tests/pipelines.rs
@@ -130,6 +130,14 @@
     );
     let record: JobRecord = w.state.read(&job_key("run-4")).expect("recorded");
     assert_eq!(record.spec.needs, ["run-1", "run-2"]);
+    // Behind a cancelled job a name never accepted is still none.
+    assert_eq!(w.abort(0, "run-2"), Some(Phase::Aborted));
+    for names in [["run-2", "run-99"], ["run-99", "run-2"]] {
+        assert_eq!(
+            w.submit(1, &after(array("run-5", 1), &names), runs(100)),
+            422
+        );
+    }
     // Without the store it is not known whether a name was accepted.
     w.state_down = true;
     w.run(100);
@@ -196,6 +204,23 @@
     }
 }
 
+/// The cancelled job can't be filed away while its machine is silent; what follows does not wait for that.
+#[test]
+fn what_follows_is_filed_though_the_cancelled_jobs_machine_is_silent() {
+    let mut w = world(3, 1, 0.0);
+    let ids = chain(&mut w, 1, 5, 60_000);
+    w.run(3_000);
+    assert_eq!(w.on_machines(&ids[0]).len(), 1);
+    let now = w.now;
+    for m in w.workers.values_mut() {
+        m.cut_until = now + 60_000;
+    }
+    assert_eq!(w.abort(0, &ids[0]), Some(Phase::Aborted));
+    assert!(w.until(5_000, |w| w.state.keys(JOBS).len() == 1));
+    assert!(w.until(60_000, |w| w.state.keys(JOBS).is_empty()));
+    clean(&w);
+}
+
 #[test]
 fn a_cancellation_answered_done_stops_nothing_and_each_race_has_one_outcome() {
     let mut outcomes = std::collections::BTreeSet::new();
--- a/crates/control/tests/upgrade.rs
+++ b/crates/control/tests/upgrade.rs
@@ -267,6 +267,46 @@
     }
 }
 
+/// A large page stays as long as something on it has not changed, with old copies of what has.
+#[test]
+fn of_copies_in_both_layouts_the_newest_counts_for_the_next_leader() {
+    let mut w = rolling();
+    for m in 6..25 {
+        w.add_machine(&format!("vm-{m:06}"), "a");
+    }
+    w.run(3_000);
+    // On the same page: tasks that stay, too many for it to be written anew in a small value, and tasks of which most
+    // are placed only after the switch.
+    assert_eq!(w.submit(0, &array("run-1", 70), runs(120_000)), 201);
+    assert_eq!(w.submit(0, &array("run-2", 120), runs(9_000)), 201);
+    w.run(6_000);
+    assert_eq!(w.on_machines("run-2").len(), 30);
+    w.start(2);
+    assert!(w.until(5_000, |w| mark(w) == GENERATION));
+    let wide = |w: &World| {
+        let pages = w.state.keys(PAGES).into_iter();
+        let read = pages.filter_map(|k| w.state.read::<PageRecord>(&k));
+        let has = |p: &PageRecord| {
+            p.parts
+                .iter()
+                .any(|e| e.job == "run-2" && !e.chunk.at.is_empty())
+        };
+        read.filter(has).count()
+    };
+    for _ in 0..5 {
+        w.run(6_000);
+        assert_eq!(wide(&w), 1, "its old copy is still there");
+        let leader = w.leader().expect("leader");
+        w.crash(leader);
+        w.run(3_000);
+        w.start(leader);
+    }
+    assert!(w.until(120_000, |w| w.phase(0, "run-2") == Some(Phase::Done)));
+    let twice: Vec<_> = starts(&w).into_iter().filter(|(_, n)| *n > 1).collect();
+    assert!(twice.is_empty(), "{twice:?}");
+    clean(&w);
+}
+
 /// If the limits fall though a node has never told, the refusal is the proof.
 #[test]
 fn limits_that_fall_without_the_mark_cost_a_retry() {
