Machines whose notice is over go back at once, and what ran there starts elsewhere

The return answers that all is gone. Machines missing from the list now need one and a half intervals of silence.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -252,6 +252,9 @@
 /// Leases after which an empty machine that is silent, yet not listed as failed, is given back: cuts and hangs mostly
 /// end within two, and a machine that returns has its images.
 pub const SILENT_LEASES: f64 = 2.5;
+/// Milliseconds after the end of a spot machine's notice, and without a report, at which it is given back: it is gone,
+/// or will be within moments, and what it ran can start elsewhere only then.
+pub const NOTICE_OVER_MS: u64 = 1_500;
 /// Milliseconds beyond its worker's lease after which a silent machine is given back on which tasks may still run, as
 /// far as this leader can tell: its return frees them for sure.
 pub const SILENT_UNSURE_MS: u64 = 30_000;
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -144,6 +144,8 @@
         let w = &self.settings.deployment.workers;
         let lapse_ms = (w.lease_s * 1000.0 * DRIFT) as u64 + LEASE_MARGIN_MS;
         let silent_ms = self.silent_ms();
+        // What the list does not show any more and has missed a report is gone.
+        let missed_ms = (w.report_s * 1_500.0) as u64 + 500;
         // Machines that have stopped are listed as failed before long. What is silent for longer is cut off or hangs,
         // and mostly comes back with its images sooner than another machine would be up: where nothing runs on it
         // any more, it has time.
@@ -177,8 +179,14 @@
             let quiet = now.saturating_sub(heard);
             let why = if m.failed {
                 Some("failed")
-            } else if m.missing_lists >= 2 && quiet > silent_ms {
+            } else if m.missing_lists >= 2 && quiet > missed_ms {
                 Some("taken")
+            } else if m
+                .notice_at
+                .is_some_and(|at| now > at + NOTICE_OVER_MS && now > heard + NOTICE_OVER_MS)
+            {
+                // Whether it is gone or not: the answer frees its tasks for sure, and nothing is left to wait for.
+                Some("its notice is over")
             } else if m.last_report.is_none() {
                 let limit = if m.places.is_empty() {
                     self.patience_ms(&m.kind)
--- a/crates/control/tests/stories.rs
+++ b/crates/control/tests/stories.rs
@@ -485,6 +485,25 @@
 }
 
 /// Each attempt gave up the fetches that the last one had nearly done, for as long as the day lasted.
+/// What can't save was placed again only once the list had lacked its machine twice, half a minute later.
+#[test]
+fn when_a_notice_is_over_what_ran_there_starts_elsewhere_at_once() {
+    let mut w = world(1, 2, 0.0);
+    assert_eq!(w.submit(0, &array("run-16", 5), runs(20_000)), 201);
+    w.run(4_000);
+    let machine = w.on_machines("run-16")[0].0.clone();
+    let until = w.now + 6_000;
+    w.workers.get_mut(&machine).expect("worker").taken_at = Some(until);
+    w.run(6_000 + 4_500);
+    assert_eq!(
+        w.on_machines("run-16").len(),
+        4,
+        "as many as the other machine holds"
+    );
+    assert!(done(&mut w, "run-16", 60_000));
+    clean(&w);
+}
+
 #[test]
 fn a_gang_whose_image_takes_longer_than_its_tasks_wait_begins_with_its_second_attempt() {
     let mut w = world(1, 4, 0.0);
