Tasks that never save and take no GPU go beside GPU work on ordinary machines

Room beside GPU work on ordinary machines costs nothing. Ruled out: waiting for room (all tasks are placed within a second), rounds cut short, records.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -197,6 +197,9 @@
 /// How much worse a machine is for each second until its next report, when a start can first be sent; see `misfit`
 /// in `sched` for what it is weighed against.
 pub const REACH_COST: f64 = 2.0;
+/// How much worse a spot machine is for a task that never saves and takes no GPU: more than to fetch its image anew,
+/// since one lost task of many makes its job late.
+pub const FRAGILE_COST: f64 = 150.0;
 /// Seconds before the latest start that still meets an aim at which a job goes ahead of the weighted sharing.
 pub const URGENT_S: f64 = 12.0;
 /// Seconds for which room is gathered for a gang, and then not: the largest are to begin within four minutes, and
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -273,6 +273,7 @@
                 zone_cap: job.spec.spread.then(|| job.tasks().div_ceil(2)),
                 zones_used: used,
                 spot: job.spec.spot,
+                fragile: job.spec.checkpoint_s <= 0.0 && job.spec.gpus <= 0.0,
                 image: images.number(&job.spec.image),
                 pilots_due: if sampling {
                     wanted_pilots.saturating_sub(known_pilots)
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -304,6 +304,7 @@
             zone_cap: None,
             zones_used: vec![],
             spot: false,
+            fragile: false,
             image: 0,
             waiting: vec![0, 1],
             pilots_due: 0,
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -8,7 +8,7 @@
 mod room;
 
 use crate::{weight_of, Policy, Res};
-use constants::{COMING_S, LASTING_S, REACH_COST};
+use constants::{COMING_S, FRAGILE_COST, LASTING_S, REACH_COST};
 
 /// A machine that tasks could be placed on.
 #[derive(Debug, Clone)]
@@ -131,6 +131,8 @@
     pub zones_used: Vec<(usize, u32)>,
     /// Whether spot machines may be used.
     pub spot: bool,
+    /// Its tasks never save and take no GPU: all is lost with a spot machine, and room beside GPU work costs nothing.
+    pub fragile: bool,
     /// Image, as the caller numbers them.
     pub image: usize,
     /// Tasks to place, in order; of a gang all that are missing. May be cut to what one round can use.
@@ -425,7 +427,15 @@
         if !m.images.contains(&j.image) {
             misfit += 100.0;
         }
-        if j.spot && !m.spot {
+        if j.fragile {
+            // An idle machine of ours may go back, unless something runs there.
+            let idle = m.total.gpus > 0.0 && m.free.gpus >= m.total.gpus;
+            misfit += match (m.spot, idle) {
+                (true, _) => FRAGILE_COST,
+                (false, true) => 2.0 * FRAGILE_COST,
+                (false, false) => 0.0,
+            };
+        } else if j.spot && !m.spot {
             // Room that gangs and other work bound to ordinary machines can use is given last.
             misfit += 40.0;
         }
--- a/crates/sched/src/round/tests.rs
+++ b/crates/sched/src/round/tests.rs
@@ -43,6 +43,7 @@
         zone_cap: None,
         zones_used: vec![],
         spot: true,
+        fragile: false,
         image: 0,
         waiting: (0..tasks).collect(),
         pilots_due: 0,
@@ -388,3 +389,33 @@
     }];
     assert_eq!(placed(&decide(lasting), 1).len(), 2);
 }
+
+/// Of a stage with hundreds of tasks some were always lost with spot machines, and the pipeline was late.
+#[test]
+fn tasks_that_never_save_go_beside_gpu_work_on_ordinary_machines_before_spot_ones() {
+    let spot = MachineView {
+        spot: true,
+        ..machine(0, 4.0)
+    };
+    let mut busy = machine(0, 4.0);
+    busy.images.clear();
+    busy.free = Res {
+        cpus: 2.0,
+        gpus: 0.0,
+        mem: 50.0,
+    };
+    let mut fragile = job(1, false, 4, 0.0);
+    fragile.fragile = true;
+    let view = View {
+        machines: vec![machine(0, 4.0), spot, busy],
+        teams: vec![TeamView::default()],
+        jobs: vec![fragile],
+        running: vec![],
+    };
+    let on: Vec<usize> = placed(&decide(view), 0).iter().map(|(_, m)| *m).collect();
+    assert_eq!(
+        on,
+        [2, 2, 1, 1],
+        "an idle ordinary machine last: it may go back"
+    );
+}
