--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -52,8 +52,9 @@
 pub const STATE_DOWN_MS: u64 = 1_500;
 /// Share of the state service's request rate one node may use at most; nodes share the limit.
 pub const STATE_RPS_SHARE: f64 = 0.6;
-/// Share of the state service's write rate that bookkeeping may use, the rest being for users.
-pub const STATE_WRITE_SHARE: f64 = 0.6;
+/// Share of the state service's write rate that bookkeeping may use, the rest being for users; it takes less when the
+/// rate limit is hit.
+pub const STATE_WRITE_SHARE: f64 = 0.75;
 /// Share of the state service's write rate one node may spend on its users.
 pub const USER_WRITE_SHARE: f64 = 0.3;
 /// Seconds' worth of the write rate that one node may spend on its users at once: after an outage the first node that
@@ -64,7 +65,7 @@
 /// Share of its rate of writes that bookkeeping keeps each time the rate limit was hit: users' writes come first.
 pub const STRAIN_CUT: f64 = 0.9;
 /// Share below which it does not fall by that.
-pub const STRAIN_LEAST: f64 = 0.6;
+pub const STRAIN_LEAST: f64 = 0.5;
 /// Share that comes back a second.
 pub const STRAIN_EASE: f64 = 0.05;
 /// Records of a listing asked for at a time; each page has to be decoded in one go.
@@ -75,6 +76,8 @@
 pub const SMALL_TASKS: u32 = 32;
 /// Bytes of a page of dense parts at most: each write of it costs its encoding.
 pub const PAGE_BYTES: usize = 8 * 1024;
+/// Part of a page (one in that many bytes) that may be carried along when it is written anew.
+pub const CARRIED_PART: usize = 8;
 /// Share of a value that a page of dense parts may take: their sizes are reckoned, not counted.
 pub const SMALL_FILL: f64 = 0.94;
 /// Milliseconds between looks at which version the other nodes run, until all are known to run this one.
@@ -163,6 +166,10 @@
 pub const HOLD_LEASE_SHARE: f64 = 1.0 / 12.0;
 /// Milliseconds a change of a job's record that nobody waits for may wait for one that somebody does.
 pub const LAZY_MS: u64 = 15_000;
+/// Milliseconds that it may wait while other changes wait too: meanwhile it rides along where a record has room.
+pub const LAZY_MOST_MS: u64 = 60_000;
+/// Records looked at for that in a transaction.
+pub const LAZY_RIDES: usize = 24;
 /// Milliseconds between steps of housekeeping (silent machines, fleet size).
 pub const HOUSEKEEPING_MS: u64 = 500;
 
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -13,6 +13,8 @@
 pub(crate) use reports::{Heard, Held};
 pub(crate) use watch::direct_call;
 mod store;
+#[cfg(test)]
+mod tests;
 mod thrift;
 mod watch;
 
--- a/crates/control/src/leader/pages.rs
+++ b/crates/control/src/leader/pages.rs
@@ -227,12 +227,16 @@
         self.settle_homes();
     }
 
-    /// Starts to write a page: the one that keeps least, or a new one if all are half full.
+    /// Starts to write a page: the one that keeps least, or a new one if all keep too much. What is carried along is
+    /// room that new content lacks: with small pages and few changes a second, starts waited for it.
     fn open_page(&self, drafts: &[Draft]) -> Draft {
         let idle = |(n, p): &(&u32, &Page)| !p.busy && drafts.iter().all(|d| d.number != **n);
         let least = self.pages.iter().filter(idle).min_by_key(|(_, p)| p.bytes);
-        let half = self.page_bytes() / 2;
-        match least.filter(|(_, p)| p.bytes <= half) {
+        let most = match self.dense {
+            true => self.page_bytes() / CARRIED_PART,
+            false => self.page_bytes() / 2,
+        };
+        match least.filter(|(_, p)| p.bytes <= most) {
             Some((number, page)) => {
                 let parts: BTreeSet<(String, u32)> = page.held.keys().cloned().collect();
                 // What is carried along is written as it is now.
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -103,10 +103,15 @@
             return;
         }
         self.next_lazy = now + HOUSEKEEPING_MS;
+        // Starts and ends go first; what nobody waits for would take half of what a small state service takes.
+        let more_ms = match self.dirty_order.is_empty() {
+            true => 0,
+            false => LAZY_MOST_MS - LAZY_MS,
+        };
         let due: Vec<Dirty> = self
             .lazy
             .iter()
-            .filter(|(_, at)| **at <= now)
+            .filter(|(_, at)| **at + more_ms <= now)
             .map(|(what, _)| what.clone())
             .collect();
         for what in due {
@@ -274,11 +279,13 @@
             while let Some(what) = later.pop_back() {
                 self.dirty_order.push_front(what);
             }
+            self.ride_along(&mut drafts, &flight);
             self.write_pages(drafts, &mut flight);
             if flight.parts.is_empty() {
                 return;
             }
-            if let Some((number, version)) = self.spare_page() {
+            let calm = self.dirty_order.is_empty();
+            if let Some((number, version)) = self.spare_page().filter(|_| calm) {
                 let room = flight.txn.writes.len() < max_ops;
                 if room && flight.txn.guards.len() < 4 * max_ops {
                     let key = page_key(number);
@@ -294,6 +301,26 @@
         }
     }
 
+    /// Changes that may wait are written where pages on their way have room left: that costs no change of its own.
+    fn ride_along(&mut self, drafts: &mut Vec<Draft>, flight: &Flight) {
+        if drafts.is_empty() {
+            return;
+        }
+        let guards = 4 * self.limits().txn_ops - flight.txn.guards.len();
+        let spare = (drafts.len(), guards, TXN_BYTES);
+        let mut rides: Vec<(u64, Dirty)> =
+            self.lazy.iter().map(|(w, at)| (*at, w.clone())).collect();
+        rides.sort_unstable();
+        for (_, what) in rides.into_iter().take(LAZY_RIDES) {
+            let Some(id) = self.is_for_pages(&what).filter(|_| !self.is_busy(&what)) else {
+                continue;
+            };
+            if self.add_parts(&id, drafts, spare) {
+                self.lazy.remove(&what);
+            }
+        }
+    }
+
     fn send_flight(&mut self, number: u64, mail: &mut Mail) {
         if let Some(flight) = self.flights.get(&number) {
             let op = StateOp::Txn(flight.txn.clone());
--- /dev/null
+++ b/crates/control/src/leader/tests.rs
@@ -0,0 +1,180 @@
+//! What a round's changes cost the state service, transaction by transaction.
+
+use super::*;
+use wire::state::{Txn, Write};
+
+const SETTINGS: &str = r#"
+label = "n0"
+area = "a"
+public_addr = "10.0.0.1:1"
+back = "10.0.0.1:2"
+[outside]
+cloud = "10.0.1.1:1"
+state = "10.0.1.2:1"
+[deployment.workers]
+report_s = 2.0
+lease_s = 12.0
+gang_wait_s = 35.0
+gang_peer_s = 8.0
+cancel_s = 30.0
+[deployment.state]
+rps = 150.0
+write_rps = 50.0
+value_kb = 16.0
+txn_ops = 12
+next = { value_kb = 2.0, txn_ops = 4 }
+[deployment.cloud]
+rps = 5.0
+list_lag_s = 3.0
+[deployment.quota]
+cpu = 0.1
+mem_mb = 72.0
+max_connections = 1200
+"#;
+
+const SUBMISSION: &str = r#"{"id":"run-1","cohort":"c","tenant":"t","shape":"array","rank":"low","shards":300,"cpus":1,
+"gpus":0,"mem_gb":1,"bundle":"i","pull_gb":1,"same_place":false,"apart":false,"loaners":true,"guess_s":1,
+"stow_every_s":0,"stow_s":0}"#;
+
+fn at(mono: u64) -> Mail {
+    Mail::new(Now { mono, unix: mono })
+}
+
+fn leader() -> Leader {
+    let settings: Settings = toml::from_str(SETTINGS).expect("settings");
+    let mut leader = Leader::new(&settings, &Operator::default(), || 0, 1, 7, true, at(1).now);
+    leader.loading = Loading::Ready;
+    leader
+}
+
+/// An open job with places for the first so many tasks, none of them recorded yet.
+fn place(leader: &mut Leader, id: &str, tasks: u32) {
+    let record = JobRecord {
+        spec: serde_json::from_str(SUBMISSION).expect("submission"),
+        at: 0,
+        aborted: false,
+        more: 0,
+    };
+    let mut job = Job::new(record, 5);
+    job.split();
+    (0..tasks).for_each(|t| job.put(t, &format!("vm-{t:06}"), 1, false, 0));
+    leader.jobs.insert(id.to_string(), job);
+    leader.mark(Dirty::Job(id.to_string()));
+}
+
+/// Flushes, and answers every transaction well: their pages, by key.
+fn flush(leader: &mut Leader, now: u64) -> Vec<(String, PageRecord)> {
+    let mut pages = Vec::new();
+    let mut mail = at(now);
+    leader.flush(&mut mail);
+    while !mail.state.is_empty() {
+        let mut next = at(now);
+        for (_, op, tag) in std::mem::take(&mut mail.state) {
+            let (StateOp::Txn(Txn { guards, writes }), StateTag::Leader(_, Ask::Flight(n))) =
+                (op, tag)
+            else {
+                panic!("only transactions");
+            };
+            assert!(
+                writes.len() <= 4 && guards.len() <= 16,
+                "{} {}",
+                writes.len(),
+                guards.len()
+            );
+            for write in writes {
+                if let Write::Put { key, value, .. } = write {
+                    assert!(
+                        wire::json_bytes(&value) <= 2048,
+                        "{}",
+                        wire::json_bytes(&value)
+                    );
+                    pages.push((key, value.deserialized().expect("a page")));
+                }
+            }
+            let version = now;
+            leader.on_flight(n, StateReply::Committed { version }, &mut next);
+        }
+        mail = next;
+    }
+    pages
+}
+
+fn jobs(page: &PageRecord) -> BTreeSet<&str> {
+    page.small.iter().map(|e| e.job.as_str()).collect()
+}
+
+/// Half of each page was carried along, and starts waited ten seconds for their records.
+#[test]
+fn a_page_that_keeps_much_is_not_written_again_for_something_new() {
+    let mut leader = leader();
+    place(&mut leader, "run-1", 30);
+    let first = flush(&mut leader, 10);
+    place(&mut leader, "run-2", 2);
+    let second = flush(&mut leader, 20);
+    assert_eq!((first.len(), second.len()), (1, 1));
+    assert_ne!(first[0].0, second[0].0);
+    assert_eq!(
+        jobs(&second[0].1).into_iter().collect::<Vec<_>>(),
+        ["run-2"]
+    );
+    // Little is carried along rather than a page left for it.
+    place(&mut leader, "run-3", 2);
+    let third = flush(&mut leader, 30);
+    assert_eq!(third[0].0, second[0].0);
+    assert_eq!(jobs(&third[0].1).len(), 2);
+}
+
+/// What had ended was written as if somebody waited for it.
+#[test]
+fn what_may_wait_rides_along_with_what_may_not_and_costs_no_change_of_its_own() {
+    let mut leader = leader();
+    place(&mut leader, "run-1", 10);
+    place(&mut leader, "run-2", 40);
+    flush(&mut leader, 10);
+    leader
+        .jobs
+        .get_mut("run-1")
+        .expect("job")
+        .complete(3, Some(1.0));
+    leader.mark_lazily(Dirty::Job("run-1".into()), at(20).now);
+    assert!(flush(&mut leader, 20).is_empty(), "nobody waits for it");
+    place(&mut leader, "run-3", 1);
+    let pages = flush(&mut leader, 30);
+    assert_eq!(pages.len(), 1);
+    assert!(jobs(&pages[0].1).contains("run-1"));
+    assert!(leader.lazy.is_empty());
+    // Left alone it is written after a while.
+    leader
+        .jobs
+        .get_mut("run-2")
+        .expect("job")
+        .complete(3, Some(1.0));
+    leader.mark_lazily(Dirty::Job("run-2".into()), at(40).now);
+    assert!(flush(&mut leader, 40 + LAZY_MS - 1_000).is_empty());
+    assert_eq!(flush(&mut leader, 40 + LAZY_MS + 1_000).len(), 1);
+}
+
+/// With sixteen conditions the jobs carried along on a page used to ask for more.
+#[test]
+fn no_transaction_goes_beyond_the_limits_to_come() {
+    let mut leader = leader();
+    let mut written = BTreeMap::new();
+    for n in 0..60 {
+        place(&mut leader, &format!("run-{n}"), 1 + n % 50);
+        if n % 7 == 0 {
+            // The limits are checked in there.
+            written.extend(flush(&mut leader, 100 + u64::from(n)));
+        }
+    }
+    written.extend(flush(&mut leader, 900));
+    let open = |j: &Job| j.chunks.values().any(Chunk::dirty);
+    assert!(!leader.jobs.values().any(open), "all is recorded");
+    let places: usize = leader.jobs.values().map(|j| j.placed as usize).sum();
+    let mut seen: BTreeMap<(String, u32), (u64, usize)> = BTreeMap::new();
+    for entry in written.values().flat_map(|p: &PageRecord| &p.small) {
+        let chunk = entry.chunk.read().expect("readable");
+        let part = seen.entry((entry.job.clone(), entry.part)).or_default();
+        *part = (*part).max((entry.seq, chunk.at.len()));
+    }
+    assert_eq!(seen.values().map(|(_, n)| n).sum::<usize>(), places);
+}
