--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -95,9 +95,11 @@
         if now.mono >= self.next_summary {
             self.next_summary = now.mono + 15_000;
             let up = self.machines.values().filter(|m| m.synced).count();
+            let held = self.jobs.values().filter(|j| j.is_held()).count();
             let waiting: u64 = self
                 .jobs
                 .values()
+                .filter(|j| !j.is_held())
                 .map(|j| j.spec.tasks - j.done - u64::from(j.placed).min(j.spec.tasks - j.done))
                 .sum();
             let placed: u32 = self.jobs.values().map(|j| j.placed).sum();
@@ -107,8 +109,8 @@
                 self.term, s.boot, s.idle, s.unused, s.starting, s.stopping, s.running
             );
             log::info!(
-                "event=summary machines={} up={up} jobs={} placed={placed} waiting={waiting} rentals={} dirty={} \
-                 starts={} sent_ms={} seen_ms={} ran_ms={}",
+                "event=summary machines={} up={up} jobs={} held={held} placed={placed} waiting={waiting} rentals={} \
+                 dirty={} starts={} sent_ms={} seen_ms={} ran_ms={}",
                 self.machines.len(),
                 self.jobs.len(),
                 self.rentals.len(),
