--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,8 +1,8 @@
 //! The controller, without I/O: actors that own their state and are spoken to by messages.
 //!
 //! [`Node`] is the whole of one controller. It is fed [`Input`]s and the time, and yields [`Output`]s. Inside,
-//! the state client, the election, the gateway for users, the leader's books and the cloud client each own what
-//! they know; [`mail::Mail`] carries what they say to each other.
+//! the state client, the election, the gateway for users, the upgrade, the leader's books and the cloud client each
+//! own what they know; `mail::Mail` carries what they say to each other.
 
 mod cloud;
 mod election;
