Stories: unreadable records, and a release that races with takeover and cancellation

Unreadable marks, pages, jobs and finals end no process and stop no other work. The race sees both outcomes and fails when a cancelled job releases what follows it.

--- a/crates/control/tests/pipelines.rs
+++ b/crates/control/tests/pipelines.rs
@@ -343,3 +343,36 @@
     assert!(w.until(30_000, |w| w.phase(0, "run-2") == Some(Phase::Done)));
     clean(&w);
 }
+
+/// The end of a job, its cancellation and a change of leader within the same second, at every offset.
+#[test]
+fn a_release_that_races_with_a_takeover_and_a_cancellation_comes_after_the_end_or_never() {
+    let mut outcomes = std::collections::BTreeSet::new();
+    for delay in (1_400..2_400).step_by(100) {
+        let mut w = world(3, 2, 0.0);
+        assert_eq!(w.submit(0, &array("run-1", 2), runs(1_500)), 201);
+        assert_eq!(
+            w.submit(1, &after(array("run-2", 9), &["run-1"]), runs(500)),
+            201
+        );
+        assert_eq!(
+            w.submit(2, &after(gang("run-3", 1), &["run-2"]), runs(500)),
+            201
+        );
+        w.run(delay);
+        let (leader, other) = (w.leader().expect("leader"), follower(&w));
+        w.crash(leader);
+        let answer = w.abort(other, "run-1").expect("answered");
+        w.start(leader);
+        let over = |w: &mut World| {
+            [Some(Phase::Done), Some(Phase::Aborted)].contains(&w.phase(leader, "run-3"))
+        };
+        assert!(w.until(60_000, over), "{delay}");
+        for id in ["run-1", "run-2", "run-3"] {
+            assert_eq!(w.phase(other, id), Some(answer), "{id} {delay}");
+        }
+        clean(&w);
+        outcomes.insert(format!("{answer:?}"));
+    }
+    assert_eq!(outcomes.len(), 2, "both outcomes were seen: {outcomes:?}");
+}
--- a/crates/control/tests/upgrade.rs
+++ b/crates/control/tests/upgrade.rs
@@ -387,3 +387,43 @@
     assert!(done(&mut w, "run-6", 20_000));
     clean(&w);
 }
+
+/// What can't be read costs what it said, and nothing else: no process ends, and other work goes on.
+#[test]
+fn unreadable_records_end_no_process_and_stop_no_other_work() {
+    let mut w = rolling();
+    for key in [
+        "v/n0",
+        MARK,
+        "b/00000",
+        "b/junk",
+        "x/run-8/1",
+        "j/run-9",
+        "f/run-7",
+        "r/t0-1",
+    ] {
+        w.state.write(key, &"nonsense", None);
+    }
+    for i in 0..3 {
+        w.crash(i);
+        w.start(i);
+    }
+    assert!(w.until(10_000, |w| w.leader().is_some()));
+    let ids: Vec<String> = (1..4).map(|n| format!("run-{n}")).collect();
+    for id in &ids {
+        let accepted =
+            |w: &mut World| (200..300).contains(&w.submit(1, &array(id, 2), runs(1_000)));
+        assert!(w.until(10_000, accepted), "{id}");
+    }
+    // Behind a job whose end can't be read nothing is known, so nothing is promised.
+    assert_eq!(
+        w.submit(0, &after(array("run-4", 1), &["run-7"]), runs(100)),
+        503
+    );
+    assert_eq!(
+        w.submit(0, &after(array("run-4", 1), &["run-9"]), runs(100)),
+        503
+    );
+    assert!(all_over(&mut w, &ids));
+    clean(&w);
+}
