A leader's knowledge of cancellations is dated by its own reading; no answers before it

Now the reading or watch that came back whole counts, by when it was sent; a leader that is reading lets reports wait; notices are kept for jobs not read yet; rereading all jobs goes on from the first page's revision, not the last one's. Answers that renew a lease end cancelled tasks whatever the report's token, and a leader without its lease still tells workers directly to end them. Nodes answer what they were told is cancelled, and look at what has become certain last. A peer's echo of an earlier process of ours vouches for nothing.

Found on the way: nothing asked for a round when a job's pause ended; now one comes at least every 1.5 s. The story of looked-up names relied on that (its second job stayed unstarted by luck) and let the fake take over a repeat's fields; its repeats now go as plain requests and the job runs for a minute.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -25,6 +25,8 @@
 /// Milliseconds a worker's report waits at a node that knows of no leader: less than the second it would lose by
 /// trying the next one, which knows of none either.
 pub const LIMBO_MS: u64 = 900;
+/// Milliseconds it waits at a leader that has yet to read its records: it would only be sent back here.
+pub const LOADING_MS: u64 = 3_500;
 /// Milliseconds between workers sent to a leader that none reaches, to find out whether it is reached again.
 pub const PROBE_MS: u64 = 20_000;
 /// Milliseconds a report passed on to the leader may take: less than the worker's patience.
@@ -41,9 +43,15 @@
 /// Milliseconds to wait for the state service before the outcome counts as unknown; it answers within a few
 /// hundred at worst, and users wait 2 s for a poll.
 pub const STATE_TIMEOUT_MS: u64 = 1_200;
-/// Milliseconds a watch is held open by the state service. Short, since a watch whose connection died silently
-/// hides aborts until it times out: hold and timeout together stay below `KEEPALIVE_MARGIN_MS`.
+/// Milliseconds a watch is held open by the state service. Short, since only its answer proves that no cancellation up
+/// to its sending is unknown, and one whose connection died silently hides them until it times out.
 pub const WATCH_HOLD_MS: u64 = 3_000;
+/// Milliseconds for which a leader decides and starts things without new proof that it knows all cancellations: one
+/// watch that times out and the next one's answer, with some slack.
+pub const INFORMED_MS: u64 = 9_000;
+/// Milliseconds between two watches: each change ends one, and at many changes a second they would take the rate that
+/// users need.
+pub const WATCH_EVERY_MS: u64 = 50;
 /// Watches that fail in a row until all is read anew, page by page.
 pub const WATCH_TRIES: u32 = 4;
 /// Milliseconds to wait after an answer of 429 or 503 before asking the state service again.
@@ -130,8 +138,13 @@
 pub const GONE_MS: u64 = 600_000;
 /// Orders in one answer to a worker: 400 of at most 120 bytes stay under the body limit.
 pub const ORDERS_PER_ANSWER: usize = 400;
-/// Milliseconds subtracted when a leader without the state service reckons how long it may keep leases alive.
-pub const KEEPALIVE_MARGIN_MS: u64 = 5_000;
+/// Milliseconds subtracted when a leader reckons how long it may keep leases alive that tasks of a job cancelled without
+/// its knowledge may be under. Clocks' drift is reckoned apart, and its knowledge is dated by when it asked, so this is
+/// for timers alone.
+pub const KEEPALIVE_MARGIN_MS: u64 = 1_000;
+/// Reports answered at a time once the leader has read its records, of those that waited for it: all of a large fleet
+/// in one turn would keep users and the lease waiting for seconds.
+pub const LIMBO_A_TURN: usize = 16;
 /// Milliseconds to wait for a worker's answer to a direct order.
 pub const ORDERS_TIMEOUT_MS: u64 = 2_000;
 /// Milliseconds between repeats of a `kill` for the same task.
@@ -147,6 +160,8 @@
 pub const ROUND_BUDGET_MS: u64 = 150;
 /// Milliseconds the decisions themselves may take in any case, should the view alone use up the budget.
 pub const ROUND_LEAST_MS: u64 = 40;
+/// Milliseconds after which decisions are made though nothing has happened: what a job waits for may be a time.
+pub const ROUND_AT_LEAST_MS: u64 = 1_500;
 /// Milliseconds between two rounds of decisions.
 pub const ROUND_EVERY_MS: u64 = 60;
 /// Times as long as a round took until the next one starts, if that is longer.
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -5,6 +5,7 @@
 mod records;
 mod walk;
 
+use crate::generations::Generations;
 use crate::mail::{Mail, News, RequestId, StateTag};
 use crate::settings::{Limits, StateLimits, Team};
 use crate::state::{Priority, StateOp, StateReply};
@@ -86,13 +87,13 @@
     types: Option<Vec<MachineType>>,
     tickets: HashMap<u64, Ticket>,
     next: u64,
-    finals: HashMap<String, Final>,
-    /// Two generations, so that the cache stays bounded without keeping an order.
-    old_finals: HashMap<String, Final>,
+    finals: Generations<Final>,
+    /// Jobs whose cancellation is recorded, as this node or a peer has seen: that is final, so it may be answered at
+    /// once, and must be wherever a reading says something older.
+    cancelled: Generations<()>,
     pub counts: Counts,
-    /// Versions of open jobs' records, in two generations. Never an answer by themselves.
-    versions: HashMap<String, Version>,
-    old_versions: HashMap<String, Version>,
+    /// Versions of open jobs' records. Never an answer by themselves.
+    versions: Generations<Version>,
     /// Tickets that wait for a proof, and the one under way.
     proving: VecDeque<u64>,
     proof: Option<Proof>,
@@ -113,11 +114,10 @@
             types: None,
             tickets: HashMap::new(),
             next: 0,
-            finals: HashMap::new(),
-            old_finals: HashMap::new(),
+            finals: Generations::new(FINAL_CACHE),
+            cancelled: Generations::new(FINAL_CACHE),
             counts: Counts::new(),
-            versions: HashMap::new(),
-            old_versions: HashMap::new(),
+            versions: Generations::new(VERSION_CACHE),
             proving: VecDeque::new(),
             proof: None,
             next_proof: 0,
@@ -140,18 +140,26 @@
 
     pub fn remember_final(&mut self, id: String, end: Final) {
         self.counts.remove(&id);
-        self.forget_version(&id);
-        if self.finals.len() >= FINAL_CACHE / 2 {
-            self.old_finals = std::mem::take(&mut self.finals);
-        }
+        self.versions.remove(&id);
         self.finals.insert(id, end);
     }
 
+    /// A cancellation is recorded: no answer about the job may be older from now on.
+    pub fn remember_cancelled(&mut self, id: &str) {
+        if !self.cancelled.contains(id) {
+            self.cancelled.insert(id.to_string(), ());
+        }
+    }
+
+    /// Jobs known to be cancelled, for a leader that has yet to read its records.
+    pub fn known_cancelled(&self) -> impl Iterator<Item = &String> {
+        self.cancelled.keys()
+    }
+
+    /// How a job ends or has ended, where that is certain.
     fn known_final(&self, id: &str) -> Option<Final> {
-        self.finals
-            .get(id)
-            .or_else(|| self.old_finals.get(id))
-            .copied()
+        let cancelled = || self.cancelled.get(id).map(|()| Final::Aborted);
+        self.finals.get(id).copied().or_else(cancelled)
     }
 
     /// A request of a user; `up` tells whether the state service answers.
@@ -238,7 +246,12 @@
         ticket.is_some_and(|t| now < t.since + USER_RETRY_MS)
     }
 
+    /// Answers about a job that was found open. What has become certain while that was on its way goes first: another
+    /// node may have told its user.
     fn answer_open(&self, request: RequestId, id: &str, aborted: bool, mail: &mut Mail) {
+        if let Some(end) = self.known_final(id) {
+            return self.answer_final(request, id, end, mail);
+        }
         let counts = self.counts.get(id).copied().unwrap_or_default();
         let (phase, counts) = match (aborted, counts.1 > 0) {
             (true, _) => (Phase::Aborted, None),
@@ -379,9 +392,11 @@
                             .push(News::Proven("a submission that needs others"));
                     }
                     self.remember_version(&t.id, version, false, &needs);
-                    let phase = match t.doomed {
-                        true => Phase::Aborted,
-                        false => Phase::Queued,
+                    // A repeat at another node may have been answered, and the job cancelled, before this came back.
+                    let phase = match (self.known_final(&t.id), t.doomed) {
+                        (Some(Final::Done), _) => Phase::Done,
+                        (Some(Final::Aborted), _) | (None, true) => Phase::Aborted,
+                        (None, false) => Phase::Queued,
                     };
                     mail.respond(t.request, 201, status_body(&t.id, phase, None));
                 }
@@ -500,6 +515,12 @@
             }
             // The creation may still be on its way; a retry finds out.
             Want::Submit { .. } => self.refuse(number, 503, "not recorded yet", mail),
+            // It has become known since the first of the two readings was sent.
+            _ if self.known_final(&ticket.id).is_some()
+                || self.known_version(&ticket.id).is_some() =>
+            {
+                self.go(number, Stage::Open, mail);
+            }
             _ => self.refuse(number, 404, "no such job", mail),
         }
     }
@@ -534,6 +555,7 @@
     pub fn on_news(&mut self, news: &News) {
         match news {
             News::JobOver(id, end) => self.remember_final(id.clone(), *end),
+            News::Aborted(id) => self.remember_cancelled(id),
             News::Types(types) => self.set_types(types.clone()),
             News::Upgraded | News::Proven(_) => self.upgraded = true,
             _ => {}
--- a/crates/control/src/gateway/proofs.rs
+++ b/crates/control/src/gateway/proofs.rs
@@ -30,9 +30,6 @@
                 needs,
             },
         };
-        if self.versions.len() >= VERSION_CACHE / 2 {
-            self.old_versions = std::mem::take(&mut self.versions);
-        }
         self.versions.insert(id.to_string(), entry);
     }
 
@@ -44,7 +41,7 @@
     }
 
     pub(super) fn known_version(&self, id: &str) -> Option<&Version> {
-        self.versions.get(id).or_else(|| self.old_versions.get(id))
+        self.versions.get(id)
     }
 
     pub(super) fn version_of(&self, id: &str) -> Option<Version> {
@@ -53,7 +50,6 @@
 
     pub(super) fn forget_version(&mut self, id: &str) {
         self.versions.remove(id);
-        self.old_versions.remove(id);
     }
 
     /// Sends one transaction without writes that proves the records of as many questions as it can hold.
--- a/crates/control/src/gateway/walk.rs
+++ b/crates/control/src/gateway/walk.rs
@@ -129,7 +129,13 @@
                 Err(_) => return self.refuse(number, 503, "unreadable record", mail),
             },
             StateReply::Item(item) => match item.value.deserialized::<JobRecord>() {
-                Ok(r) => self.remember_version(&id, item.version, r.aborted, &r.spec.needs),
+                Ok(r) => {
+                    if r.aborted {
+                        // Its user may be told so by this node from now on.
+                        mail.news.push(News::Aborted(id.clone()));
+                    }
+                    self.remember_version(&id, item.version, r.aborted, &r.spec.needs);
+                }
                 Err(_) => return self.refuse(number, 503, "unreadable record", mail),
             },
             StateReply::Missing if !last => {
--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use wire::records::*;
 use wire::users::{Priority, Shape, Submission};
-use wire::workers::{Report, TaskPhase};
+use wire::workers::TaskPhase;
 
 /// How far a place has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -547,8 +547,6 @@
     pub pace: (f64, u32),
     pub idle_since: u64,
     pub return_sent: Option<u64>,
-    /// Report that came before the books were loaded.
-    pub pending: Option<Report>,
     /// Direct orders are on their way.
     pub direct_at: u64,
 }
@@ -589,7 +587,6 @@
             pace: (0.0, 0),
             idle_since: now,
             return_sent: None,
-            pending: None,
             direct_at: 0,
         }
     }
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -19,6 +19,7 @@
 mod watch;
 
 use crate::cloud::{CloudOp, CloudReply};
+use crate::generations::Generations;
 use crate::mail::{CloudTag, Mail, News, Now, StateTag};
 use crate::settings::{Operator, Settings};
 use crate::state::{Bucket, Priority, StateOp, StateReply};
@@ -34,20 +35,30 @@
 pub(crate) enum Ask {
     /// A page of the records, while loading.
     Load(&'static str),
-    /// A watch of the open jobs.
-    Watch,
+    /// A watch of the open jobs, sent at this moment.
+    Watch(u64),
     /// A transaction.
     Flight(u64),
     /// A record whose version has become doubtful.
     Refresh(Dirty, String),
-    /// All open jobs, after the watch fell behind.
-    Resync,
+    /// A page of all open jobs, after the watch fell behind.
+    Resync(Reread),
     /// How a job ended that others need.
     Final(String),
     /// What does not fit into an open job's own record.
     More(String, u32),
 }
 
+/// All open jobs are being read again, page by page.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Reread {
+    /// When the first page was asked for.
+    since: u64,
+    /// Revision of the first page: what has changed since is the next watch's to tell, since a change of a job on a page
+    /// already read is on none of the later ones.
+    revision: u64,
+}
+
 /// Why the leader asked the cloud.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum CloudAsk {
@@ -148,6 +159,9 @@
     copies: pages::Copies,
     pipes: pipelines::Pipes,
     watch_from: u64,
+    /// Moment up to which every cancellation that was confirmed to a user is in these books: when the reading or the
+    /// last watch was sent that came back whole. 0 while nothing has been read.
+    informed_until: u64,
     watch_open: bool,
     watch_retry_at: u64,
     /// Watches that failed in a row.
@@ -176,8 +190,10 @@
     listed_once: bool,
     next_rent: u64,
     kill_budget: Bucket,
-    /// Jobs filed away in this term, in two generations.
-    filed: [HashMap<String, Final>; 2],
+    /// Jobs filed away in this term.
+    filed: Generations<Final>,
+    /// Jobs that peers, or this node, have said are cancelled and that these books don't have, or not yet.
+    told: Generations<()>,
     /// Until when nothing is written, after a transaction that the state service called invalid.
     invalid_until: u64,
     next_summary: u64,
@@ -231,6 +247,7 @@
             copies: pages::Copies::default(),
             pipes: pipelines::Pipes::default(),
             watch_from: 0,
+            informed_until: 0,
             watch_open: false,
             watch_retry_at: 0,
             watch_fails: 0,
@@ -254,7 +271,8 @@
             listed_once: false,
             next_rent: 0,
             kill_budget: Bucket::new(20.0, 40.0),
-            filed: Default::default(),
+            filed: Generations::new(FINAL_CACHE),
+            told: Generations::new(FINAL_CACHE),
             invalid_until: 0,
             next_summary: 0,
             spent: fleet::Spent::default(),
@@ -300,6 +318,9 @@
         if let Loading::Pages { prefix, from } = self.loading.clone() {
             if !self.load_busy && now >= self.load_retry_at {
                 self.load_busy = true;
+                if self.watch_from == 0 {
+                    self.informed_until = now;
+                }
                 let op = StateOp::List { prefix, from };
                 self.ask(Priority::Leadership, op, Ask::Load(prefix), mail);
             }
@@ -311,11 +332,14 @@
                 prefix: JOBS,
                 from: self.watch_from,
             };
-            self.ask(Priority::Books, op, Ask::Watch, mail);
+            // Behind the books' own writes it could wait for seconds, and cancellations with it.
+            self.ask(Priority::Leadership, op, Ask::Watch(now), mail);
         }
         self.mind_pipelines(mail);
         if now >= self.next_housekeeping {
             self.next_housekeeping = now + HOUSEKEEPING_MS;
+            // Pauses and rests end, and doubts are over, without anything happening.
+            self.plan_due |= now >= self.next_round + ROUND_AT_LEAST_MS;
             self.watch_machines(active, mail);
             if active {
                 self.mind_fleet(mail);
@@ -351,10 +375,10 @@
     pub fn on_state(&mut self, ask: Ask, reply: StateReply, mail: &mut Mail) {
         match ask {
             Ask::Load(prefix) => self.on_load(prefix, reply, mail),
-            Ask::Watch => self.on_watch(reply, mail),
+            Ask::Watch(sent) => self.on_watch(sent, reply, mail),
             Ask::Flight(number) => self.on_flight(number, reply, mail),
             Ask::Refresh(what, key) => self.on_refresh(what, key, reply, mail),
-            Ask::Resync => self.on_resync(reply, mail),
+            Ask::Resync(reread) => self.on_resync(reread, reply, mail),
             Ask::Final(id) => self.on_final(&id, reply, mail),
             Ask::More(id, number) => self.on_more(id, number, reply, mail),
         }
@@ -449,6 +473,9 @@
             mail.news.push(News::Types(types.clone()));
         }
         self.settle_copies();
+        for (id, job) in &mut self.jobs {
+            job.aborted |= self.told.contains(id);
+        }
         let mut places = Vec::new();
         for (id, job) in &self.jobs {
             for (task, place) in job.places() {
@@ -481,19 +508,11 @@
             self.rentals.len(),
             now.saturating_sub(self.since)
         );
-        let pending: Vec<_> = self
-            .machines
-            .values_mut()
-            .filter_map(|m| m.pending.take())
-            .collect();
-        for report in pending {
-            self.work_in(&report, mail.now);
-        }
         self.plan_due = true;
         self.tick(false, mail);
     }
 
-    fn on_watch(&mut self, reply: StateReply, mail: &mut Mail) {
+    fn on_watch(&mut self, sent: u64, reply: StateReply, mail: &mut Mail) {
         self.watch_open = false;
         match reply {
             StateReply::Changes(changes) => {
@@ -502,6 +521,8 @@
                     self.on_change(change, mail);
                 }
                 self.watch_from = self.watch_from.max(changes.revision);
+                self.informed_until = self.informed_until.max(sent);
+                self.watch_retry_at = mail.now.mono + WATCH_EVERY_MS;
                 self.tick(false, mail);
             }
             StateReply::TooOld => self.resync(mail),
@@ -529,16 +550,24 @@
             prefix: JOBS,
             from: String::new(),
         };
-        self.ask(Priority::Books, op, Ask::Resync, mail);
+        let reread = Reread {
+            since: mail.now.mono,
+            revision: 0,
+        };
+        self.ask(Priority::Books, op, Ask::Resync(reread), mail);
     }
 
     /// The watch had fallen too far behind: all open jobs are read again, page by page.
-    fn on_resync(&mut self, reply: StateReply, mail: &mut Mail) {
+    fn on_resync(&mut self, reread: Reread, reply: StateReply, mail: &mut Mail) {
         let StateReply::Page(page) = reply else {
             self.watch_open = false;
             self.watch_retry_at = mail.now.mono + STATE_RETRY_MS;
             return;
         };
+        let revision = match reread.revision {
+            0 => page.revision,
+            first => first,
+        };
         let last = page.items.last().map(|i| i.key.clone());
         for item in page.items {
             let change = Change {
@@ -552,10 +581,12 @@
         match (page.more, last) {
             (true, Some(from)) => {
                 let op = StateOp::List { prefix: JOBS, from };
-                self.ask(Priority::Books, op, Ask::Resync, mail);
+                let ask = Ask::Resync(Reread { revision, ..reread });
+                self.ask(Priority::Books, op, ask, mail);
             }
             _ => {
-                self.watch_from = self.watch_from.max(page.revision);
+                self.watch_from = self.watch_from.max(revision);
+                self.informed_until = self.informed_until.max(reread.since);
                 self.watch_open = false;
                 self.tick(false, mail);
             }
@@ -617,6 +648,7 @@
             record.spec.needs.len()
         );
         let mut job = Job::new(record, version);
+        job.aborted |= self.told.contains(id);
         if self.dense {
             job.split();
         }
@@ -631,16 +663,29 @@
 
     /// A node is about to confirm a cancellation. The record follows by the watch, unless the state service has
     /// gone in between: the tasks must stop all the same.
+    ///
+    /// A job that is not in the books may be read any moment, in a record older than the cancellation.
     pub fn abort_told(&mut self, id: &str, now: Now) {
-        if let Some(job) = self.jobs.get_mut(id).filter(|j| !j.aborted) {
-            job.aborted = true;
-            log::info!("event=abort_told job={id} placed={}", job.placed);
-            self.abort_places(id, now);
-            self.cascade_from(id);
-            self.mark_if_final(id);
+        let (loading, filed) = (!self.is_ready(), self.filed_as(id).is_some());
+        match self.jobs.get_mut(id).filter(|_| !loading) {
+            Some(job) if job.aborted => {}
+            Some(job) => {
+                job.aborted = true;
+                log::info!("event=abort_told job={id} placed={}", job.placed);
+                self.abort_places(id, now);
+                self.cascade_from(id);
+                self.mark_if_final(id);
+            }
+            None if !filed => self.told.insert(id.to_string(), ()),
+            None => {}
         }
     }
 
+    /// Moment up to which every cancellation confirmed to a user is in these books; nothing while they are being read.
+    pub fn informed_until(&self) -> Option<u64> {
+        self.is_ready().then_some(self.informed_until)
+    }
+
     /// Cancelled: what was not sent goes at once, the rest is killed, whatever it had been told before. Called
     /// when an abort is seen and for jobs that were already cancelled when the books were loaded.
     fn abort_places(&mut self, id: &str, now: Now) {
--- a/crates/control/src/leader/pipelines.rs
+++ b/crates/control/src/leader/pipelines.rs
@@ -177,7 +177,7 @@
         };
         match end {
             Some(end) => {
-                self.filed[0].insert(id.to_string(), end);
+                self.filed.insert(id.to_string(), end);
                 self.over(id, end, mail.now);
             }
             // Just created, and still to be told by the watch; or the state service does not answer.
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -46,7 +46,7 @@
         if report.term > self.term {
             return Heard::Newer(report.term);
         }
-        let (term, ready) = (self.term, self.is_ready());
+        let term = self.term;
         let orders = Vec::new();
         if self.gone.contains_key(&report.machine) {
             // Sent before the machine went: it changes nothing.
@@ -68,7 +68,9 @@
         m.addr = Some(report.addr.clone());
         if report.term < self.term {
             // The worker may still execute an earlier leader's answer, and this may be a late copy: only its next
-            // report, with our term, says what is on the machine, or that it is there at all.
+            // report, with our term, says what is on the machine, or that it is there at all. But this answer renews
+            // its lease, so what it says is there of cancelled jobs must not live on by it.
+            let orders = self.cancelled_in(&report.tasks);
             return Heard::Answer(ReportAnswer { term, orders });
         }
         if m.token_seen && report.session > m.session {
@@ -103,10 +105,6 @@
             .map(|s| now.mono + (s.max(0.0) * 1000.0) as u64);
         m.token_seen = true;
         m.held = false;
-        if !ready {
-            m.pending = Some(report);
-            return Heard::Answer(ReportAnswer { term, orders });
-        }
         let name = report.machine.clone();
         let before = self.machines.get(&name).map_or(0, |m| m.places.len());
         self.work_in(&report, now);
@@ -142,6 +140,16 @@
         }
     }
 
+    /// Orders to end what a report lists of jobs that are cancelled, or over: right whatever else is true of it.
+    fn cancelled_in(&self, listed: &[TaskReport]) -> Vec<Order> {
+        let over = |t: &&TaskReport| {
+            let job = split_task(&t.task).and_then(|(id, _)| self.jobs.get(id));
+            t.phase != TaskPhase::Ended && job.is_none_or(|j| j.aborted)
+        };
+        let over = listed.iter().filter(over).take(ORDERS_PER_ANSWER);
+        over.map(|t| stop(&t.task, t.attempt, 0.0)).collect()
+    }
+
     /// Milliseconds after our last answer at which a worker's lease has certainly run out.
     pub(super) fn lease_lapse_ms(&self) -> u64 {
         let lease_s = self.settings.deployment.workers.lease_s;
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -542,16 +542,13 @@
         }
         self.over(id, end, mail.now);
         mail.news.push(News::JobOver(id.to_string(), end));
-        if self.filed[0].len() >= FINAL_CACHE / 2 {
-            self.filed.swap(0, 1);
-            self.filed[0].clear();
-        }
-        self.filed[0].insert(id.to_string(), end);
+        self.told.remove(id);
+        self.filed.insert(id.to_string(), end);
     }
 
     /// Whether a change that the watch tells late is of a job already filed away.
     pub(super) fn filed_as(&self, id: &str) -> Option<Final> {
-        self.filed.iter().find_map(|f| f.get(id)).copied()
+        self.filed.get(id).copied()
     }
 }
 
--- a/crates/control/src/leader/watch.rs
+++ b/crates/control/src/leader/watch.rs
@@ -33,9 +33,7 @@
         }
         self.mind_notices(now);
         self.mind_gangs(now);
-        if active {
-            self.send_direct(mail);
-        }
+        self.send_direct(active, mail);
     }
 
     /// Frees all places of a machine on which certainly nothing runs.
@@ -121,7 +119,11 @@
     }
 
     /// Stops that should not wait for the next report: of cancelled jobs and of gangs.
-    fn send_direct(&mut self, mail: &mut Mail) {
+    ///
+    /// Without its lease a leader still ends what is known as cancelled: that is final, so it is right whoever leads,
+    /// and a worker that has seen a newer term refuses it. Such a worker may reach no controller, or a hung one may go
+    /// on within its lease.
+    fn send_direct(&mut self, active: bool, mail: &mut Mail) {
         let now = mail.now.mono;
         let report_ms = (self.settings.deployment.workers.report_s * 1250.0) as u64;
         let mut calls = Vec::new();
@@ -144,7 +146,9 @@
                 let gang = job.is_gang() && job.tasks() > 1 && fresh;
                 // Somebody waits for this room.
                 let preempted = s.why == PREEMPTED && fresh;
-                if p.stage != Stage::Ready && (gang || preempted || (job.aborted && unheard)) {
+                let decided = active && (gang || preempted);
+                let cancelled = job.aborted && (fresh || unheard);
+                if p.stage != Stage::Ready && (decided || cancelled) {
                     orders.push(stop(&task_name(id, *task), p.attempt, s.grace_s));
                 }
             }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 mod cloud;
 mod election;
 mod gateway;
+mod generations;
 mod leader;
 pub mod mail;
 mod node;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -42,6 +42,8 @@
     peers: Peers,
     /// Number of this process, and cancellations it has confirmed.
     boot: u64,
+    /// Added to the clock in beats, so that what a peer echoes of an earlier process of ours is told apart.
+    clock_base: u64,
     aborts: u64,
     next_call: CallId,
     out: VecDeque<Output>,
@@ -97,6 +99,8 @@
             next_limbo: 0,
             peers: Peers::new(settings.siblings.iter().map(|s| s.label.clone())),
             boot,
+            // 31 bits of milliseconds stay free: three weeks.
+            clock_base: (boot << 32) >> 1,
             aborts: 0,
             next_call: 0,
             out: VecDeque::new(),
@@ -143,6 +147,10 @@
         if !self.gateway.is_idle() || !self.forwards.is_empty() || !self.limbo.is_empty() {
             at = at.min(self.last_now.mono + 200);
         }
+        let ready = self.leader.as_ref().is_some_and(Leader::is_ready);
+        if ready && !self.limbo.is_empty() {
+            at = self.last_now.mono;
+        }
         if !self.held.is_empty() {
             at = at.min(self.next_release);
         }
@@ -204,25 +212,28 @@
         self.deliver(mail);
     }
 
-    /// Whether the leader may decide and start things.
+    /// Moment up to which every cancellation that was confirmed to a user is known to the leader: by its own reading of
+    /// the records, and beyond it as long as all peers tell of the cancellations that they confirm. A good answer of the
+    /// state service to anything else proves nothing.
+    fn informed_until(&self) -> Option<u64> {
+        let read = self.leader.as_ref()?.informed_until()?;
+        Some(self.peers.aborts_known_until(read))
+    }
+
+    /// Whether the leader may decide and start things: its lease holds, and it can't have missed a cancellation long ago.
     fn active(&self, now: u64) -> bool {
-        self.election.lease_holds(now)
+        let informed = |until: u64| now < until + INFORMED_MS;
+        self.election.lease_holds(now) && self.informed_until().is_some_and(informed)
     }
 
     /// Whether the leader may answer workers, that is keep their leases alive.
+    ///
+    /// Jobs may have been cancelled that it does not know of, in particular without the state service: their tasks must
+    /// not be kept alive beyond `cancel_s`. A leader that has not read its records knows of none at all.
     fn may_answer(&self, now: u64) -> bool {
-        if self.election.lease_holds(now) {
-            return true;
-        }
-        // Without the state service, jobs may have been cancelled that we don't know of: their tasks must not
-        // be kept alive beyond `cancel_s`. That can be excluded up to the last good answer we had, and beyond
-        // it as long as all peers tell us of the cancellations they confirm.
-        let w = &self.settings.deployment.workers;
-        let allowance = (w.cancel_s - w.lease_s) * 1000.0;
-        let allowance = (allowance as u64).saturating_sub(KEEPALIVE_MARGIN_MS);
-        let good = self.state.last_good();
-        let clean_until = self.peers.aborts_known_until(good);
-        good > 0 && now < clean_until + allowance
+        let keepalive_ms = self.settings.keepalive_ms();
+        let informed = |until: u64| now < until + keepalive_ms;
+        self.active(now) || self.informed_until().is_some_and(informed)
     }
 
     /// A leader whom the state service refuses alone, or whom no worker reaches, makes room for a peer.
@@ -278,7 +289,7 @@
                     state_ago_ms,
                     leads: self.election.leads().is_some(),
                     worker_ago_ms: self.last_worker.map(ago),
-                    sent: now,
+                    sent: self.clock_base + now,
                     echo,
                     boot: self.boot,
                     aborts: self.aborts,
@@ -374,6 +385,12 @@
             Ok(report) => report,
             Err(why) => return mail.refuse(id, 400, &why.to_string()),
         };
+        let loading = self.leader.as_ref().is_some_and(|l| !l.is_ready());
+        if loading && self.limbo.len() < self.limbo_most {
+            // An answer would renew the leases of tasks that may be cancelled, for all it knows.
+            self.limbo.push((id, body.to_vec(), now.mono));
+            return;
+        }
         if self.leader.is_some() {
             if !self.may_answer(now.mono) {
                 return mail.refuse(id, 503, "not entitled to answer workers");
@@ -421,21 +438,32 @@
         mail.respond(id, 421, wire::encode(&Elsewhere { leader }));
     }
 
-    /// Goes on with reports that came while no leader was known.
+    /// Goes on with reports that came while no leader was known, or before this one had read its records.
     fn leave_limbo(&mut self, mail: &mut Mail) {
         if self.limbo.is_empty() {
             return;
         }
         let now = mail.now.mono;
-        let known = self.election.leader_label(now).is_some();
-        if !known && now < self.next_limbo {
+        let loading = self.leader.as_ref().map(|l| !l.is_ready());
+        if loading == Some(false) {
+            let most = LIMBO_A_TURN.min(self.limbo.len());
+            for (id, body, _) in self.limbo.drain(..most).collect::<Vec<_>>() {
+                self.on_report(id, &body, mail);
+            }
+            return;
+        }
+        let elsewhere = loading.is_none() && self.election.leader_label(now).is_some();
+        if !elsewhere && now < self.next_limbo {
             return;
         }
         self.next_limbo = now + LIMBO_LOOK_MS;
+        let patience = if loading.is_some() {
+            LOADING_MS
+        } else {
+            LIMBO_MS
+        };
         for (id, body, since) in std::mem::take(&mut self.limbo) {
-            if self.leader.is_some() {
-                self.on_report(id, &body, mail);
-            } else if known || now > since + LIMBO_MS {
+            if elsewhere || now > since + patience {
                 self.send_elsewhere(id, mail);
             } else {
                 self.limbo.push((id, body, since));
@@ -497,6 +525,9 @@
                 aborts,
                 ..
             } => {
+                // An echo of what an earlier process sent would vouch for a time that its clock named, not ours.
+                let echo = echo.checked_sub(self.clock_base).filter(|at| *at <= now);
+                let echo = echo.unwrap_or(0);
                 let beat = PeerState {
                     at: now,
                     state_ago_ms,
@@ -511,6 +542,7 @@
             }
             PeerMessage::Aborted { number, job } => {
                 self.peers.on_abort(from, number);
+                self.gateway.remember_cancelled(&job);
                 if let Some(leader) = &mut self.leader {
                     leader.abort_told(&job, mail.now);
                 }
@@ -588,6 +620,7 @@
     fn deliver(&mut self, mut mail: Mail) {
         let now = mail.now;
         let mut expired = Vec::new();
+        let mut limbo_due = true;
         loop {
             for (priority, op, tag) in std::mem::take(&mut mail.state) {
                 self.state.push(now, priority, op, tag);
@@ -617,7 +650,9 @@
                 && mail.news.is_empty()
                 && mail.out.is_empty();
             if quiet {
-                self.leave_limbo(&mut mail);
+                if std::mem::take(&mut limbo_due) {
+                    self.leave_limbo(&mut mail);
+                }
                 self.release(&mut mail);
                 if mail.out.is_empty() {
                     return;
@@ -660,6 +695,9 @@
                     self.upgrade.is_over(),
                     mail.now,
                 );
+                for job in self.gateway.known_cancelled() {
+                    leader.abort_told(job, mail.now);
+                }
                 leader.tick(false, mail);
                 self.leader = Some(leader);
             }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -89,22 +89,22 @@
             .map(|(l, _)| l.as_str())
     }
 
-    /// Until when every cancellation confirmed by a peer is known here, given that all up to `good` are (by our
-    /// watch). Notices and beats of a process come in order, so a beat vouches for the time it was sent, if no
-    /// notice has been missed since before `good`.
-    pub fn aborts_known_until(&self, good: u64) -> u64 {
+    /// Until when every cancellation confirmed by a peer is known here, given that all up to `read` are (by our own
+    /// reading of the records, dated by when it was sent). Notices and beats of a process come in order, so a beat
+    /// vouches for the time it was sent, if no notice has been missed since before `read`.
+    pub fn aborts_known_until(&self, read: u64) -> u64 {
         let mut until = u64::MAX;
         for (label, p) in &self.known {
             let whole = self
                 .heard
                 .get(label)
-                .is_some_and(|h| h.since > 0 && h.since <= good);
+                .is_some_and(|h| h.since > 0 && h.since <= read);
             until = until.min(if whole { p.echo } else { 0 });
         }
         if self.known.is_empty() {
-            return good;
+            return read;
         }
-        until.max(good)
+        until.max(read)
     }
 
     /// Whether a peer lives but no worker has reached it directly for `ms`.
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -280,6 +280,15 @@
         Ok(())
     }
 
+    /// Milliseconds after a moment up to which every cancellation is known for which workers may still be answered: a
+    /// task of a job cancelled right after it ends with its worker's lease, which the last answer renewed.
+    pub fn keepalive_ms(&self) -> u64 {
+        let w = &self.deployment.workers;
+        // Either clock may be off: ours by which the answer is timed, the worker's by which its lease runs.
+        let ms = (w.cancel_s / constants::DRIFT - w.lease_s * constants::DRIFT) * 1000.0;
+        (ms as u64).saturating_sub(constants::KEEPALIVE_MARGIN_MS)
+    }
+
     /// Whether machines are rented as work needs them and given back when idle.
     ///
     /// The platform's file restates only the aims at start and at finish, so an aim about money can't be read
--- a/crates/control/tests/pipelines.rs
+++ b/crates/control/tests/pipelines.rs
@@ -108,15 +108,12 @@
         assert_eq!(w.phase(1, "run-3"), None, "nothing is kept of it");
     }
     assert!(w.state.keys("j/run-3").is_empty());
-    // A known id is answered, whatever it names now.
-    assert_eq!(
-        w.submit(2, &after(array("run-2", 1), &["run-99"]), runs(100)),
-        200
-    );
-    assert_eq!(
-        w.submit(2, &after(array("run-2", 1), &["run-2"]), runs(100)),
-        200
-    );
+    // A known id is answered, whatever it names now; what the world knows of the job stays as first accepted.
+    for name in ["run-99", "run-2"] {
+        let again = wire::encode(&after(array("run-2", 1), &[name]));
+        assert_eq!(w.ask(2, "POST", "/submissions", again).0, 200);
+    }
+    w.behaviour.insert("run-2".into(), runs(60_000));
     // Twice is once, and a job that is over counts as well as one that is open.
     w.behaviour.insert("run-1".into(), runs(100));
     assert!(done(&mut w, "run-1", 20_000));
