--- a/crates/control/src/leader/tests.rs
+++ b/crates/control/src/leader/tests.rs
@@ -178,3 +178,51 @@
     }
     assert_eq!(seen.values().map(|(_, n)| n).sum::<usize>(), places);
 }
+
+/// Of jobs read again page by page, one on the first page was cancelled before the last page came: going on from the
+/// last page's revision nobody would ever have told of it.
+#[test]
+fn after_reading_all_jobs_again_the_watch_goes_on_from_the_first_page() {
+    let mut leader = leader();
+    let page = |revision: u64, more: bool| {
+        let record = JobRecord {
+            spec: serde_json::from_str(SUBMISSION).expect("submission"),
+            at: 0,
+            aborted: false,
+            more: 0,
+        };
+        let item = Item {
+            key: job_key("run-1"),
+            value: wire::state::to_value(&record),
+            version: 3,
+            lease: None,
+        };
+        let items = vec![item];
+        StateReply::Page(wire::state::Page {
+            items,
+            more,
+            revision,
+        })
+    };
+    let asked = |mail: &Mail| {
+        mail.state.iter().find_map(|(_, op, tag)| match (op, tag) {
+            (StateOp::List { .. }, StateTag::Leader(_, ask)) => Some(ask.clone()),
+            _ => None,
+        })
+    };
+    let mut mail = at(5_000);
+    leader.on_state(Ask::Watch(4_000), StateReply::TooOld, &mut mail);
+    let first = asked(&mail).expect("the first page");
+    let mut mail = at(5_100);
+    leader.on_state(first, page(20, true), &mut mail);
+    let second = asked(&mail).expect("the second page");
+    let mut mail = at(5_200);
+    leader.on_state(second, page(30, false), &mut mail);
+    let from = mail.state.iter().find_map(|(_, op, _)| match op {
+        StateOp::Watch { from, .. } => Some(*from),
+        _ => None,
+    });
+    assert_eq!(from, Some(20));
+    // Dated by when the reading began.
+    assert_eq!(leader.informed_until(), Some(5_000));
+}
