--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,15 +1,22 @@
 //! A small world in memory for story tests: state service, cloud, workers, users, and a network that can be cut,
 //! all in simulated time. It checks the rules that matter most at every step.
 
+mod cloud;
+mod rules;
 mod state;
+mod troubles;
+mod users;
 mod worker;
 
+pub use rules::{Jobs, Placed, Question, Rules};
 pub use state::{FakeLimits, FakeState};
-pub use worker::{Behaviour, FakeTask, FakeWorker};
+pub use troubles::{CopyTo, Troubles, LATE_REPORT_MS, LATE_TXN_MS};
+pub use worker::{Behaviour, FakeTask, FakeWorker, Gang};
 
 use control::{CallError, Input, Node, Now, Operator, Output, Settings, Target};
 use std::collections::{BTreeMap, BTreeSet};
-use wire::cloud::*;
+use std::ops::RangeInclusive;
+use wire::cloud::Rent;
 use wire::records::{final_key, Final};
 use wire::users::*;
 use wire::workers::*;
@@ -22,15 +29,30 @@
 const LARGE: usize = 500;
 /// Type of every fake machine: 4 GPUs, 32 CPUs.
 pub const KIND: &str = "g4";
+/// What such a machine has: CPUs, GPUs, memory in GB.
+pub const MACHINE: (f64, f64, f64) = (32.0, 4.0, 256.0);
+/// Milliseconds for which a worker waits for an answer.
+const REPORT_DROP_MS: u64 = 4_000;
 
 enum Event {
     ToNode(usize, u64, Input),
-    ToState(usize, u64, u64, &'static str, String, Vec<u8>),
+    ToState(StateCall),
     ToCloud(usize, u64, u64, &'static str, String, Vec<u8>),
-    ToWorker(String, Vec<u8>),
+    ToWorker(usize, String, Vec<u8>),
     Answer(String, u64, u16, Vec<u8>),
 }
 
+/// A request to the state service.
+struct StateCall {
+    /// Who asks; nobody waits for the answer of a late one.
+    from: Option<(usize, u64, u64)>,
+    method: &'static str,
+    path: String,
+    body: Vec<u8>,
+    /// When the sender gives up.
+    deadline: u64,
+}
+
 struct Slot {
     node: Option<Node>,
     /// Counts starts, so that answers to an earlier process are dropped.
@@ -84,12 +106,25 @@
     pub jobs: BTreeMap<String, Submission>,
     /// How a job's tasks behave.
     pub behaviour: BTreeMap<String, Behaviour>,
-    /// Jobs whose user was told that they are cancelled, and when.
+    /// Jobs whose user was told by somebody else than a node of this world that they are cancelled, and when.
     pub cancelled: BTreeMap<String, u64>,
     /// Rules that were broken.
     pub broken: Vec<String>,
     /// Rental requests the cloud executed.
     pub rentals: Vec<String>,
+    /// Milliseconds until a rented machine is up.
+    pub boot_ms: RangeInclusive<u64>,
+    /// Further troubles.
+    pub troubles: Troubles,
+    /// What users were told and which rules that broke.
+    pub rules: Rules,
+    /// Copies of reports kept for a leader with a higher term than this.
+    kept: Vec<(u64, Vec<u8>)>,
+    /// Whether the state service was down at the last step.
+    was_down: bool,
+    /// Whether all troubles are over.
+    over: bool,
+    rng: fastrand::Rng,
 }
 
 /// A plain array job.
@@ -165,8 +200,17 @@
             cancelled: BTreeMap::new(),
             broken: Vec::new(),
             rentals: Vec::new(),
+            boot_ms: 2_000..=2_000,
+            troubles: Troubles::default(),
+            rules: Rules::default(),
+            kept: Vec::new(),
+            was_down: false,
+            over: false,
+            rng: fastrand::Rng::with_seed(0),
         };
         if let Some(first) = world.settings.first() {
+            let d = &first.deployment;
+            world.rules = Rules::new(d.teams.clone(), d.workers.cancel_s);
             world.state.limits = Some(limits_of(&first.deployment.state.now()));
         }
         for i in 0..nodes {
@@ -179,6 +223,11 @@
         world
     }
 
+    /// Draws everything that is left to chance from this seed.
+    pub fn seed(&mut self, seed: u64) {
+        self.rng = fastrand::Rng::with_seed(seed);
+    }
+
     /// The state service has its new limits from now on.
     pub fn lower_limits(&mut self) {
         let least = self.settings[0].deployment.state.least();
@@ -244,116 +293,6 @@
         self.queue.insert((at, self.next_event), event);
     }
 
-    /// Sends a request to a node and waits for the answer, for 3 s at most.
-    pub fn ask(
-        &mut self,
-        node: usize,
-        method: &str,
-        target: &str,
-        body: Vec<u8>,
-    ) -> (u16, Vec<u8>) {
-        let id = self.send(node, method, target, body);
-        for _ in 0..300 {
-            if let Some(answer) = self.answers.remove(&id) {
-                return answer;
-            }
-            self.step();
-        }
-        (0, vec![])
-    }
-
-    fn send(&mut self, node: usize, method: &str, target: &str, body: Vec<u8>) -> u64 {
-        self.next_request += 1;
-        let id = self.next_request;
-        let input = Input::Request {
-            id,
-            method: method.to_string(),
-            target: target.to_string(),
-            body,
-        };
-        let life = self.nodes[node].life;
-        self.push(self.now + DELAY, Event::ToNode(node, life, input));
-        id
-    }
-
-    /// Submits a job; returns the status.
-    pub fn submit(&mut self, node: usize, job: &Submission, behaviour: Behaviour) -> u16 {
-        self.jobs.insert(job.id.clone(), job.clone());
-        self.behaviour.insert(job.id.clone(), behaviour);
-        self.ask(node, "POST", "/submissions", wire::encode(job)).0
-    }
-
-    /// Asks a node for the phases of many jobs at the same moment.
-    pub fn phases(&mut self, node: usize, ids: &[String]) -> Vec<Option<Phase>> {
-        let targets = ids.iter().map(|id| format!("/submissions/{id}"));
-        let sent: Vec<u64> = targets
-            .map(|t| self.send(node, "GET", &t, vec![]))
-            .collect();
-        self.run(2_000);
-        let read = |(status, body): (u16, Vec<u8>)| {
-            let status: Option<JobStatus> = wire::decode(&body).ok().filter(|_| status == 200);
-            status.map(|s| s.phase)
-        };
-        sent.iter()
-            .map(|id| self.answers.remove(id).and_then(read))
-            .collect()
-    }
-
-    /// Asks for a job's phase.
-    pub fn phase(&mut self, node: usize, id: &str) -> Option<Phase> {
-        let (status, body) = self.ask(node, "GET", &format!("/submissions/{id}"), vec![]);
-        if status != 200 {
-            return None;
-        }
-        let phase = wire::decode::<JobStatus>(&body).ok().map(|s| s.phase);
-        self.check_orphan(id, phase);
-        phase
-    }
-
-    /// Jobs before a job, directly or through others.
-    fn before(&self, id: &str) -> BTreeSet<String> {
-        let mut all = BTreeSet::new();
-        let mut stack = vec![id.to_string()];
-        while let Some(id) = stack.pop() {
-            for need in self.jobs.get(&id).into_iter().flat_map(|j| &j.needs) {
-                if all.insert(need.clone()) {
-                    stack.push(need.clone());
-                }
-            }
-        }
-        all
-    }
-
-    /// A job behind one whose user was told long ago that it is cancelled must not be called open.
-    fn check_orphan(&mut self, id: &str, phase: Option<Phase>) {
-        if !matches!(phase, Some(Phase::Queued | Phase::Running)) {
-            return;
-        }
-        let cancel_ms = (self.settings[0].deployment.workers.cancel_s * 1000.0) as u64;
-        for need in self.before(id) {
-            if self
-                .cancelled
-                .get(&need)
-                .is_some_and(|at| self.now > at + cancel_ms)
-            {
-                self.broken.push(format!("orphaned {id} behind {need}"));
-            }
-        }
-    }
-
-    /// Cancels a job.
-    pub fn abort(&mut self, node: usize, id: &str) -> Option<Phase> {
-        let (status, body) = self.ask(node, "POST", &format!("/submissions/{id}/abort"), vec![]);
-        if status != 200 {
-            return None;
-        }
-        let phase = wire::decode::<JobStatus>(&body).ok().map(|s| s.phase);
-        if phase == Some(Phase::Aborted) {
-            self.cancelled.entry(id.to_string()).or_insert(self.now);
-        }
-        phase
-    }
-
     /// Lets time pass.
     pub fn run(&mut self, ms: u64) {
         let until = self.now + ms;
@@ -389,6 +328,10 @@
 
     fn step(&mut self) {
         self.now += STEP;
+        if self.was_down && !self.state_down {
+            self.state.refresh_leases(self.now);
+        }
+        self.was_down = self.state_down;
         if !self.state_down {
             self.state.expire(self.now);
         }
@@ -400,16 +343,12 @@
                 self.happen(event);
             }
         }
-        if !self.state_down {
-            for ((node, call), body) in self.state.ripe_watches(self.now) {
-                let life = self.nodes[node].life;
-                let result = Ok((200, body));
-                let input = Input::Reply { call, result };
-                self.push(self.now + DELAY, Event::ToNode(node, life, input));
-            }
-        }
+        self.tell_watches();
         for i in 0..self.nodes.len() {
             let now = self.clock();
+            if self.troubles.frozen_until(i, now.mono).is_some() {
+                continue;
+            }
             if let Some(node) = &mut self.nodes[i].node {
                 if now.mono >= node.next_wake() {
                     self.ticks += 1;
@@ -418,6 +357,7 @@
             }
             self.drain(i);
         }
+        self.release_kept();
         self.boot();
         // Of a large fleet each machine is looked at less often.
         let every = if self.workers.len() > LARGE { 10 } else { 1 };
@@ -427,6 +367,65 @@
         }
     }
 
+    /// Answers watches that have something to tell; those of a node that is refused stay open and silent.
+    fn tell_watches(&mut self) {
+        if self.state_down {
+            return;
+        }
+        let (refused, cut) = (&self.refused, &self.troubles.cut_from_state);
+        let silent = |node: usize| refused.contains(&node) || cut.contains(&node);
+        for ((node, call), body) in self.state.ripe_watches(self.now, silent) {
+            let life = self.nodes[node].life;
+            let result = Ok((200, body));
+            let input = Input::Reply { call, result };
+            let at = self.now + DELAY + self.draw(self.troubles.slow_state.get(&node).copied());
+            self.push(at, Event::ToNode(node, life, input));
+        }
+    }
+
+    /// Copies of reports that were kept arrive everywhere once a new leader is there.
+    fn release_kept(&mut self) {
+        if self.kept.is_empty() {
+            return;
+        }
+        let term = self.leader().and_then(|l| self.term_of(l));
+        let kept = std::mem::take(&mut self.kept);
+        for (than, body) in kept {
+            if term.is_some_and(|t| t > than) {
+                for node in 0..self.nodes.len() {
+                    self.send_copy(node, body.clone(), 0);
+                }
+            } else {
+                self.kept.push((than, body));
+            }
+        }
+    }
+
+    /// A copy of a report arrives late; nobody waits for its answer.
+    fn send_copy(&mut self, node: usize, body: Vec<u8>, late_ms: u64) {
+        self.next_request += 1;
+        let id = self.next_request;
+        self.reporters.insert(id, (String::new(), 0));
+        let input = Input::Request {
+            id,
+            method: "POST".into(),
+            target: "/v1/report".into(),
+            body,
+        };
+        let life = self.nodes[node].life;
+        self.push(self.now + DELAY + late_ms, Event::ToNode(node, life, input));
+    }
+
+    /// A number up to `most`, 0 without one.
+    fn draw(&mut self, most: Option<u64>) -> u64 {
+        most.map_or(0, |most| self.rng.u64(0..=most))
+    }
+
+    /// Whether something of a share happens now.
+    fn happens(&mut self, share: f64) -> bool {
+        share > 0.0 && self.rng.f64() < share
+    }
+
     fn drain(&mut self, i: usize) {
         let life = self.nodes[i].life;
         loop {
@@ -441,9 +440,7 @@
                     Some((worker, seq)) => {
                         self.push(at, Event::Answer(worker, seq, status, body));
                     }
-                    None => {
-                        self.answers.insert(id, (status, body));
-                    }
+                    None => self.respond(id, status, body),
                 },
                 Output::Call {
                     call,
@@ -451,17 +448,33 @@
                     method,
                     path,
                     body,
-                    ..
+                    timeout_ms,
                 } => match target {
                     Target::State => {
-                        self.push(at, Event::ToState(i, life, call, method, path, body));
+                        let late = self.draw(self.troubles.slow_to_state.get(&i).copied());
+                        let deadline = self.now + timeout_ms;
+                        let mut from = Some((i, life, call));
+                        if at + late > deadline {
+                            from = None;
+                            let result = Err(CallError::Unknown);
+                            let input = Input::Reply { call, result };
+                            self.push(deadline, Event::ToNode(i, life, input));
+                        }
+                        let call = StateCall {
+                            from,
+                            method,
+                            path,
+                            body,
+                            deadline,
+                        };
+                        self.push(at + late, Event::ToState(call));
                     }
                     Target::Cloud => {
                         self.push(at, Event::ToCloud(i, life, call, method, path, body));
                     }
                     Target::Worker(addr) => {
                         let name = addr.split(':').next().unwrap_or_default().to_string();
-                        self.push(at, Event::ToWorker(name, body));
+                        self.push(at, Event::ToWorker(i, name, body));
                     }
                 },
                 Output::Peer { to, message } => {
@@ -469,7 +482,8 @@
                     for j in 0..self.nodes.len() {
                         let named = to.as_ref().is_none_or(|l| *l == self.settings[j].label);
                         let cut = |n: usize| self.silent_peers.contains(&n);
-                        if j != i && named && !cut(i) && !cut(j) {
+                        let lost = self.troubles.loses_frame(i, j, self.now);
+                        if j != i && named && !cut(i) && !cut(j) && !lost {
                             let life = self.nodes[j].life;
                             let (from, message) = (from.clone(), message.clone());
                             let input = Input::Peer { from, message };
@@ -485,6 +499,9 @@
         let back = self.now + DELAY;
         match event {
             Event::ToNode(i, life, input) => {
+                if let Some(until) = self.troubles.frozen_until(i, self.now) {
+                    return self.push(until, Event::ToNode(i, life, input));
+                }
                 let now = self.clock();
                 let slot = &mut self.nodes[i];
                 if slot.life == life {
@@ -494,58 +511,117 @@
                 }
                 self.drain(i);
             }
-            Event::ToState(i, life, call, method, path, body) => {
-                let txn = path == "/multi";
-                self.txns += u64::from(txn && i != usize::MAX);
-                let lost = txn && self.lose_txns > 0 && self.txns.is_multiple_of(self.lose_txns);
-                let result = if self.state_down || self.refused.contains(&i) {
-                    Some(Ok((503, vec![])))
-                } else if let (Some(late), true) = (self.late_txns.get(&i).copied(), txn) {
-                    // Executed later, long after the sender has given up.
-                    let again = Event::ToState(usize::MAX, life, call, method, path, body);
-                    self.push(self.now + late, again);
-                    Some(Err(CallError::Unknown))
-                } else if self.break_watches && path == "/changes" {
-                    Some(Err(CallError::Unknown))
-                } else if lost && i != usize::MAX {
-                    if self.txns.is_multiple_of(2 * self.lose_txns) {
-                        self.state.serve(self.now, (i, call), method, &path, &body);
-                    }
-                    Some(Err(CallError::Unknown))
-                } else {
-                    let served = self.state.serve(self.now, (i, call), method, &path, &body);
-                    served.map(Ok)
-                };
-                if let (Some(result), true) = (result, i != usize::MAX) {
-                    let input = Input::Reply { call, result };
-                    self.push(back, Event::ToNode(i, life, input));
-                }
-            }
+            Event::ToState(call) => self.serve_state(call),
             Event::ToCloud(i, life, call, method, path, body) => {
-                let result = Ok(self.cloud(method, &path, &body));
+                let result = Ok(self.serve_cloud(method, &path, &body));
                 let input = Input::Reply { call, result };
                 self.push(back, Event::ToNode(i, life, input));
             }
-            Event::ToWorker(name, body) => {
-                let Ok(direct) = wire::decode::<DirectOrders>(&body) else {
-                    return;
-                };
-                let jobs = self.behaviour.clone();
-                let now = self.now;
-                if let Some(w) = self.workers.get_mut(&name) {
-                    let reached = self.stuck_workers.is_none();
-                    if reached
-                        && now >= w.cut_until
-                        && !w.one_way
-                        && direct.term >= w.term
-                        && direct.session == w.session
-                    {
-                        w.term = direct.term;
-                        w.execute(&direct.orders, |t| behave(&jobs, t), now);
+            Event::ToWorker(from, name, body) => self.direct(from, name, body),
+            Event::Answer(name, seq, status, body) => match self.held(&name) {
+                Some(until) => self.push(until, Event::Answer(name, seq, status, body)),
+                None => self.answered(&name, seq, status, &body),
+            },
+        }
+    }
+
+    /// Until when messages to a machine wait, because they are held or because it hangs.
+    fn held(&self, name: &str) -> Option<u64> {
+        let hung = self.workers.get(name).map(|w| w.hung_until);
+        let hung = hung.filter(|until| self.now < *until);
+        self.troubles.held_until(name, self.now).max(hung)
+    }
+
+    /// The state service gets a request.
+    fn serve_state(&mut self, call: StateCall) {
+        let txn = call.path == "/multi";
+        let Some((i, life, number)) = call.from else {
+            // Too late for an answer. An outage only makes it later.
+            if self.state_down {
+                return self.push(self.now + 1_000, Event::ToState(call));
+            }
+            if call.path != "/changes" {
+                let waiter = (usize::MAX, 0);
+                self.state
+                    .serve(self.now, waiter, call.method, &call.path, &call.body);
+            }
+            return;
+        };
+        self.txns += u64::from(txn);
+        let lost = txn && self.lose_txns > 0 && self.txns.is_multiple_of(self.lose_txns);
+        let mut at = self.now + DELAY;
+        let deadline = call.deadline;
+        let late = match self.late_txns.get(&i).copied() {
+            Some(ms) if txn => Some((ms, at)),
+            _ if txn && self.happens(self.troubles.late_txns) => {
+                Some((self.rng.u64(LATE_TXN_MS), deadline))
+            }
+            _ => None,
+        };
+        let result = if self.troubles.cut_from_state.contains(&i) {
+            at = deadline;
+            Some(Err(CallError::Unknown))
+        } else if self.state_down || self.refused.contains(&i) {
+            Some(Ok((503, vec![])))
+        } else if let Some((ms, told_at)) = late {
+            // Executed later, long after the sender has given up.
+            let call = StateCall { from: None, ..call };
+            self.push(self.now + ms, Event::ToState(call));
+            at = told_at;
+            Some(Err(CallError::Unknown))
+        } else if (self.break_watches && call.path == "/changes")
+            || (lost && !self.txns.is_multiple_of(2 * self.lose_txns))
+        {
+            Some(Err(CallError::Unknown))
+        } else {
+            let waiter = (i, number);
+            let served = self
+                .state
+                .serve(self.now, waiter, call.method, &call.path, &call.body);
+            if lost {
+                Some(Err(CallError::Unknown))
+            } else if txn && self.happens(self.troubles.lost_answers) {
+                at = deadline;
+                Some(Err(CallError::Unknown))
+            } else {
+                at += self.draw(self.troubles.slow_state.get(&i).copied());
+                let in_time = |answer| {
+                    if at > deadline {
+                        Err(CallError::Unknown)
+                    } else {
+                        Ok(answer)
                     }
-                }
+                };
+                served.map(in_time)
+            }
+        };
+        if let Some(result) = result {
+            let call = number;
+            let input = Input::Reply { call, result };
+            self.push(at.min(deadline), Event::ToNode(i, life, input));
+        }
+    }
+
+    /// A worker's own address gets commands.
+    fn direct(&mut self, from: usize, name: String, body: Vec<u8>) {
+        if let Some(until) = self.held(&name) {
+            return self.push(until, Event::ToWorker(from, name, body));
+        }
+        let Ok(direct) = wire::decode::<DirectOrders>(&body) else {
+            return;
+        };
+        let (jobs, now, rules) = (&self.behaviour, self.now, &mut self.rules);
+        let Some(w) = self.workers.get_mut(&name) else {
+            return;
+        };
+        let reached = self.stuck_workers.is_none() && w.only.is_none_or(|n| n == from);
+        let heard = reached && now >= w.cut_until && !w.one_way;
+        if heard && direct.term >= w.term && direct.session == w.session {
+            w.term = direct.term;
+            let fresh = w.execute(&direct.orders, |t| behave(jobs, t), now);
+            for (task, attempt) in fresh {
+                rules.started(&task, attempt, &name, now);
             }
-            Event::Answer(name, seq, status, body) => self.answered(&name, seq, status, &body),
         }
     }
 
@@ -557,7 +633,7 @@
         let Some((sent, _)) = w.in_flight.filter(|f| f.1 == seq) else {
             return;
         };
-        if now < w.cut_until || w.one_way {
+        if now < w.cut_until || w.one_way || now > sent + REPORT_DROP_MS {
             return;
         }
         if w.lose_answers > 0 {
@@ -573,7 +649,10 @@
                     }
                     w.term = answer.term;
                     w.lease_from = sent;
-                    w.execute(&answer.orders, |t| behave(jobs, t), now);
+                    let fresh = w.execute(&answer.orders, |t| behave(jobs, t), now);
+                    for (task, attempt) in fresh {
+                        self.rules.started(&task, attempt, name, now);
+                    }
                 }
             }
             return;
@@ -596,12 +675,18 @@
         let now = self.now;
         let lease_ms = (self.settings[0].deployment.workers.lease_s * 1000.0) as u64;
         let report_ms = (self.settings[0].deployment.workers.report_s * 1000.0) as u64;
+        let peer_ms = (self.settings[0].deployment.workers.gang_peer_s * 1000.0) as u64;
         let jobs = &self.behaviour;
-        let mut gathered: BTreeMap<(String, u64), u32> = BTreeMap::new();
-        for w in self.workers.values() {
+        let mut gangs: BTreeMap<(String, u64), Gang> = BTreeMap::new();
+        for w in self.workers.values().filter(|w| now >= w.hung_until) {
             for (task, attempt) in w.live() {
+                if behave(jobs, task).is_none_or(|b| b.gang == 0) {
+                    continue;
+                }
                 let job = task.split('/').next().unwrap_or_default().to_string();
-                *gathered.entry((job, attempt)).or_default() += 1;
+                let gang = gangs.entry((job, attempt)).or_default();
+                gang.present += 1;
+                gang.waiting += u32::from(w.waits(task, attempt));
             }
         }
         let mut reports = Vec::new();
@@ -610,13 +695,19 @@
         self.workers
             .retain(|_, w| w.taken_at.is_none_or(|at| now < at));
         for w in self.workers.values_mut() {
-            let complete = |job: &str, attempt: u64, n: u32| {
+            let gang = |job: &str, attempt: u64| {
                 let key = (job.to_string(), attempt);
-                gathered.get(&key).is_some_and(|have| *have >= n)
+                gangs.get(&key).copied().unwrap_or_default()
             };
-            w.advance(now, lease_ms, |t| behave(jobs, t), complete);
+            let completed = w.advance(now, (lease_ms, peer_ms), |t| behave(jobs, t), gang);
+            for task in completed {
+                self.rules.completed(&task);
+            }
+            if now < w.hung_until {
+                continue;
+            }
             if let Some((sent, _)) = w.in_flight {
-                if now > sent + 4_000 {
+                if now > sent + REPORT_DROP_MS {
                     w.in_flight = None;
                     w.node = (w.node + 1) % nodes;
                     w.report_at = now + 1_000;
@@ -626,150 +717,147 @@
                 let report = w.report(KIND, now);
                 w.in_flight = Some((now, w.seq));
                 w.report_at = now + report_ms;
-                let deaf = self.deaf.contains(&w.node);
-                if now >= w.cut_until && !deaf && stuck.is_none_or(|n| n == w.node) {
+                let deaf = self.deaf.contains(&w.node) || w.mute;
+                let only = |n: Option<usize>| n.is_none_or(|n| n == w.node);
+                if now >= w.cut_until && !deaf && only(stuck) && only(w.only) {
                     reports.push((w.name.clone(), w.node, w.seq, report));
                 }
             }
         }
         for (name, node, seq, report) in reports {
-            let id = self.send(node, "POST", "/v1/report", wire::encode(&report));
+            let body = wire::encode(&report);
+            self.copy_late(node, &body, lease_ms);
+            let id = self.request(node, "POST", "/v1/report", body);
             self.reporters.insert(id, (name, seq));
         }
     }
 
-    fn boot(&mut self) {
-        let now = self.now;
-        let up: Vec<String> = self
-            .booting
-            .iter()
-            .filter(|(_, (at, _))| now >= *at)
-            .map(|(n, _)| n.clone())
-            .collect();
-        for name in up {
-            if let Some((_, rent)) = self.booting.remove(&name) {
-                let worker = FakeWorker::new(&name, &rent.zone, rent.spot, now);
-                self.workers.insert(name, worker);
+    /// Of a share of the reports a copy arrives later.
+    fn copy_late(&mut self, node: usize, body: &[u8], lease_ms: u64) {
+        let Some((share, to)) = self.troubles.late_reports else {
+            return;
+        };
+        if !self.happens(share) {
+            return;
+        }
+        let late = self
+            .rng
+            .u64(LATE_REPORT_MS..=LATE_REPORT_MS + lease_ms * 3 / 2);
+        match to {
+            CopyTo::Same => self.send_copy(node, body.to_vec(), late),
+            CopyTo::Any => {
+                let node = self.rng.usize(..self.nodes.len());
+                self.send_copy(node, body.to_vec(), late);
+            }
+            CopyTo::NextLeader => {
+                let terms = (0..self.nodes.len()).filter_map(|i| self.term_of(i));
+                let term = terms.max().unwrap_or(0);
+                self.kept.push((term, body.to_vec()));
             }
         }
     }
 
-    fn cloud(&mut self, method: &str, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
-        match (method, path.split('?').next().unwrap_or_default()) {
-            ("GET", "/machine_types") => {
-                let types = vec![MachineType {
-                    name: KIND.into(),
-                    cpus: 32.0,
-                    gpus: 4.0,
-                    mem_gb: 256.0,
-                    cache_gb: 80.0,
-                    fetch_gb_per_s: 1.0,
-                    price: 10.0,
-                    spot_price: 4.0,
-                    boot_s: 2.0,
-                    zones: vec!["a".into(), "b".into()],
-                }];
-                (200, wire::encode(&MachineTypes { types }))
-            }
-            ("POST", "/hosts") => {
-                let Ok(rent) = wire::decode::<Rent>(body) else {
-                    return (400, vec![]);
-                };
-                if let Some(machines) = self.rented.get(&rent.request).cloned() {
-                    return (200, wire::encode(&MachineNames { machines }));
-                }
-                let count = rent.count.min(self.capacity);
-                if count == 0 {
-                    let error = Refusal {
-                        error: "no capacity".into(),
-                    };
-                    return (503, wire::encode(&error));
-                }
-                self.capacity -= count;
-                let mut machines = Vec::new();
-                for _ in 0..count {
-                    self.next_machine += 1;
-                    let name = format!("vm-{:06}", self.next_machine);
-                    self.booting
-                        .insert(name.clone(), (self.now + 2_000, rent.clone()));
-                    machines.push(name);
-                }
-                self.rentals.push(rent.request.clone());
-                self.rented.insert(rent.request, machines.clone());
-                (200, wire::encode(&MachineNames { machines }))
-            }
-            ("POST", "/hosts/return") => {
-                if let Ok(names) = wire::decode::<MachineNames>(body) {
-                    for name in names.machines {
-                        let up = self.workers.remove(&name).is_some();
-                        if up || self.booting.remove(&name).is_some() {
-                            self.capacity += 1;
-                        }
-                    }
-                }
-                (200, vec![])
-            }
-            _ => {
-                let list = |id: &String, zone: &String, spot: bool, phase| ListedMachine {
-                    id: id.clone(),
-                    addr: Some(format!("{id}:1")),
-                    kind: KIND.into(),
-                    zone: zone.clone(),
-                    spot,
-                    phase,
-                    age_s: 1.0,
-                };
-                let mut machines: Vec<ListedMachine> = self
-                    .workers
-                    .values()
-                    .map(|w| list(&w.name, &w.zone, w.spot, MachinePhase::Running))
-                    .collect();
-                let booting = self.booting.iter();
-                machines.extend(
-                    booting.map(|(n, (_, r))| list(n, &r.zone, r.spot, MachinePhase::Booting)),
-                );
-                machines.sort_by(|a, b| a.id.cmp(&b.id));
-                let more = false;
-                (200, wire::encode(&MachineList { machines, more }))
+    /// Looks for broken rules.
+    fn check(&mut self) {
+        for (job, at) in &self.cancelled {
+            if self.rules.cancelled_at(job).is_none() {
+                self.rules.told_cancelled(job, *at);
             }
         }
+        let mut placed = Vec::new();
+        for w in self.workers.values() {
+            placed.extend(w.live().map(|(task, attempt)| Placed {
+                machine: &w.name,
+                kind: KIND,
+                zone: &w.zone,
+                spot: w.spot,
+                task,
+                attempt,
+            }));
+        }
+        let state = &self.state;
+        let ended = |id: &str| state.read::<Final>(&final_key(id)) == Some(Final::Done);
+        self.rules.look(&placed, &self.jobs, ended, self.now);
+        if self.over && self.now.is_multiple_of(1_000) {
+            self.check_waiting();
+        }
+        self.broken.append(&mut self.rules.broken);
     }
 
-    /// Looks for broken rules: a task on two machines, a team over its limit, a cancelled job on a machine, a task
-    /// that started before what its job needs was done.
-    fn check(&mut self) {
-        let mut seen: BTreeMap<&str, &str> = BTreeMap::new();
-        let mut broken = Vec::new();
-        let limit = self.settings[0]
-            .deployment
-            .teams
-            .first()
-            .map_or(0.0, |t| t.gpus_max);
-        let cancel_ms = (self.settings[0].deployment.workers.cancel_s * 1000.0) as u64;
-        let mut gpus = 0.0;
+    /// Whether jobs of one task wait although a machine that fits has room and their team may use more.
+    fn check_waiting(&mut self) {
+        let mut on: BTreeMap<&str, u32> = BTreeMap::new();
+        let mut used: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
+        let mut free = Vec::new();
         for w in self.workers.values() {
-            for (task, attempt) in w.live() {
-                if let Some(other) = seen.insert(task, &w.name) {
-                    broken.push(format!("ran_twice {task} on {other} and {}", w.name));
-                }
-                let job = task.split('/').next().unwrap_or_default();
-                gpus += self.jobs.get(job).map_or(0.0, |j| j.gpus);
-                for need in self.jobs.get(job).into_iter().flat_map(|j| &j.needs) {
-                    let end = self.state.read::<Final>(&final_key(need));
-                    if end != Some(Final::Done) {
-                        broken.push(format!("too_early {task} before {need}"));
-                    }
-                }
-                let told = self.cancelled.get(job);
-                if told.is_some_and(|at| self.now > at + cancel_ms) {
-                    broken.push(format!("ran_cancelled {task} try {attempt}"));
+            let mut room = MACHINE;
+            let live = w.tasks.iter().filter(|(_, t)| t.phase != TaskPhase::Ended);
+            for ((task, _), _) in live {
+                let id = task.split('/').next().unwrap_or_default();
+                *on.entry(id).or_default() += 1;
+                if let Some(job) = self.jobs.get(id) {
+                    let team = used.entry(&job.team).or_default();
+                    *team = (team.0 + job.cpus, team.1 + job.gpus);
+                    room = (room.0 - job.cpus, room.1 - job.gpus, room.2 - job.mem_gb);
                 }
             }
+            if w.is_reached(self.now) && w.taken_at.is_none() {
+                free.push((w, room));
+            }
+        }
+        let teams = &self.settings[0].deployment.teams;
+        for (id, job) in self.jobs.iter().filter(|(_, j)| j.tasks == 1) {
+            let open = self.rules.is_accepted(id)
+                && self.rules.end(id).is_none()
+                && !self.rules.is_called_off(id)
+                && self.state.read::<Final>(&final_key(id)).is_none();
+            let (cpus, gpus) = used.get(job.team.as_str()).copied().unwrap_or_default();
+            let under = |sum: f64, max: f64| max <= 0.0 || sum <= max + 1e-6;
+            let team = teams.iter().find(|t| t.name == job.team);
+            let may = team.is_some_and(|t| {
+                under(cpus + job.cpus, t.cpus_max) && under(gpus + job.gpus, t.gpus_max)
+            });
+            let fits = |(w, room): &(&FakeWorker, (f64, f64, f64))| {
+                room.0 >= job.cpus
+                    && room.1 >= job.gpus
+                    && room.2 >= job.mem_gb
+                    && job.zone.as_ref().is_none_or(|z| *z == w.zone)
+                    && job
+                        .types
+                        .as_ref()
+                        .is_none_or(|t| t.iter().any(|t| t == KIND))
+                    && (job.spot || !w.spot)
+            };
+            let waits = open
+                && may
+                && job.needs.is_empty()
+                && !on.contains_key(id.as_str())
+                && free.iter().any(fits);
+            self.rules.waits_beside_room(id, waits, self.now);
+        }
+    }
+
+    /// All troubles are over: from now on no question may stay unanswered for long and no task may wait beside room.
+    pub fn heal(&mut self) {
+        self.state_down = false;
+        self.refused.clear();
+        self.silent_peers.clear();
+        self.deaf.clear();
+        self.stuck_workers = None;
+        self.late_txns.clear();
+        self.lose_txns = 0;
+        self.break_watches = false;
+        self.troubles = Troubles::default();
+        for w in self.workers.values_mut() {
+            w.heal(self.now);
         }
-        if limit > 0.0 && gpus > limit {
-            broken.push(format!("quota {gpus} at {}", self.now));
+        for i in 0..self.nodes.len() {
+            if self.nodes[i].node.is_none() {
+                self.start(i);
+            }
         }
-        self.broken.extend(broken);
+        self.over = true;
+        self.rules.troubles_over(self.now);
     }
 }
 
--- a/crates/fakes/src/state.rs
+++ b/crates/fakes/src/state.rs
@@ -312,11 +312,18 @@
         (200, wire::encode(&answer))
     }
 
-    /// Watches that have something to tell or whose time is over.
-    pub fn ripe_watches(&mut self, now: u64) -> Vec<((usize, u64), Vec<u8>)> {
+    /// Watches that have something to tell or whose time is over, except for those that are kept silent.
+    pub fn ripe_watches(
+        &mut self,
+        now: u64,
+        silent: impl Fn(usize) -> bool,
+    ) -> Vec<((usize, u64), Vec<u8>)> {
         let mut ripe = Vec::new();
         let (log, revision) = (&self.log, self.revision);
         self.watches.retain(|w| {
+            if silent(w.waiter.0) {
+                return true;
+            }
             let hit = |c: &&Change| {
                 let key = c.put.as_ref().or(c.delete.as_ref());
                 c.version > w.from && key.is_some_and(|k| k.starts_with(&w.prefix))
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -12,6 +12,17 @@
     pub cause: Option<Cause>,
     /// When it goes on to the next state.
     pub next_at: u64,
+    /// Since when it misses others of its gang.
+    alone_since: Option<u64>,
+}
+
+/// Who of a gang's attempt is there, on machines that don't hang.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Gang {
+    /// Tasks that have their image and have not ended.
+    pub present: u32,
+    /// Those of them that wait for the others.
+    pub waiting: u32,
 }
 
 /// How tasks of a job behave.
@@ -61,6 +72,14 @@
     pub lose_answers: u32,
     /// Its reports arrive, but neither answers nor commands reach it.
     pub one_way: bool,
+    /// Its reports reach no node, but direct commands reach it.
+    pub mute: bool,
+    /// It hangs until then: it does nothing, and executes afterwards what came meanwhile.
+    pub hung_until: u64,
+    /// When it last did something.
+    awake_at: u64,
+    /// The only node that it reaches and that reaches it.
+    pub only: Option<usize>,
     /// Jobs whose image it has.
     pub images: BTreeSet<String>,
     /// Attempts started on this machine, in order.
@@ -86,11 +105,37 @@
             taken_at: None,
             lose_answers: 0,
             one_way: false,
+            mute: false,
+            hung_until: 0,
+            awake_at: now,
+            only: None,
             images: BTreeSet::new(),
             started: Vec::new(),
         }
     }
 
+    /// Whether nodes reach it and are reached, as far as it lies with itself.
+    pub fn is_reached(&self, now: u64) -> bool {
+        let whole = !self.one_way && !self.mute && self.only.is_none();
+        whole && now >= self.cut_until && now >= self.hung_until
+    }
+
+    /// Ends its troubles, apart from the notice that it has.
+    pub fn heal(&mut self, now: u64) {
+        self.cut_until = self.cut_until.min(now);
+        self.hung_until = self.hung_until.min(now);
+        self.lose_answers = 0;
+        self.one_way = false;
+        self.mute = false;
+        self.only = None;
+    }
+
+    /// Whether a task waits for the others of its gang.
+    pub fn waits(&self, task: &str, attempt: u64) -> bool {
+        let task = self.tasks.get(&(task.to_string(), attempt));
+        task.is_some_and(|t| t.phase == TaskPhase::Waiting)
+    }
+
     /// Its present report, numbered anew.
     pub fn report(&mut self, kind: &str, now: u64) -> Report {
         self.seq += 1;
@@ -129,13 +174,14 @@
             .map(|((n, a), _)| (n, *a))
     }
 
-    /// Executes commands in order.
+    /// Executes commands in order; returns the starts that took effect.
     pub fn execute(
         &mut self,
         orders: &[Order],
         behave: impl Fn(&str) -> Option<Behaviour>,
         now: u64,
-    ) {
+    ) -> Vec<(String, u64)> {
+        let mut fresh_starts = Vec::new();
         for order in orders {
             match order {
                 Order::Start { task, attempt } => {
@@ -162,11 +208,13 @@
                     };
                     if refused.is_none() {
                         self.started.push((task.clone(), *attempt));
+                        fresh_starts.push((task.clone(), *attempt));
                     }
                     let fresh = FakeTask {
                         phase,
                         cause: refused,
                         next_at,
+                        alone_since: None,
                     };
                     self.tasks.insert((task.clone(), *attempt), fresh);
                 }
@@ -199,25 +247,43 @@
                 }
             }
         }
+        fresh_starts
     }
 
-    /// Lets time pass for its tasks. `gathered` tells whether a gang attempt is complete.
+    /// Lets time pass for its tasks, given the lease and the time after which a gang's tasks miss each other. `gang`
+    /// tells who of an attempt is there. Returns tasks that completed.
     pub fn advance(
         &mut self,
         now: u64,
-        lease_ms: u64,
+        (lease_ms, peer_ms): (u64, u64),
         behave: impl Fn(&str) -> Option<Behaviour>,
-        gathered: impl Fn(&str, u64, u32) -> bool,
-    ) {
+        gang: impl Fn(&str, u64) -> Gang,
+    ) -> Vec<String> {
         if now > self.lease_from + lease_ms {
             self.tasks.clear();
             self.session += 1;
             self.lease_from = now;
             self.in_flight = None;
         }
+        if now < self.hung_until {
+            return Vec::new();
+        }
+        let hung_ms = self.hung_until.saturating_sub(self.awake_at);
+        self.awake_at = now.max(self.hung_until);
+        if hung_ms > 0 && self.hung_until > 0 {
+            for t in self.tasks.values_mut() {
+                t.next_at = t.next_at.saturating_add(hung_ms);
+            }
+        }
+        let mut completed = Vec::new();
         let mut changed = false;
         for ((name, attempt), t) in &mut self.tasks {
             let Some(b) = behave(name) else { continue };
+            let there = match b.gang {
+                0 => Gang::default(),
+                _ => gang(job_of(name), *attempt),
+            };
+            let whole = there.present >= b.gang;
             match t.phase {
                 TaskPhase::Fetching if now >= t.next_at => {
                     changed = true;
@@ -233,7 +299,7 @@
                     }
                 }
                 TaskPhase::Waiting => {
-                    if gathered(job_of(name), *attempt, b.gang) {
+                    if there.waiting >= b.gang {
                         changed = true;
                         t.phase = TaskPhase::Running;
                         t.next_at = now + b.run_ms;
@@ -242,9 +308,17 @@
                         end(t, Cause::Alone);
                     }
                 }
+                TaskPhase::Running if !whole => {
+                    let since = *t.alone_since.get_or_insert(now);
+                    if now >= since + peer_ms {
+                        changed = true;
+                        end(t, Cause::Peers);
+                    }
+                }
                 TaskPhase::Running if now >= t.next_at => {
                     changed = true;
                     end(t, Cause::Done);
+                    completed.push(name.clone());
                 }
                 TaskPhase::Saving if now >= t.next_at => {
                     changed = true;
@@ -256,6 +330,7 @@
         if changed {
             self.report_at = self.report_at.min(now + 100);
         }
+        completed
     }
 }
 
