--- a/crates/control/tests/cancellations.rs
+++ b/crates/control/tests/cancellations.rs
@@ -61,16 +61,36 @@
     let old = w.leader().expect("leader");
     let other = follower(&w);
     long_job(&mut w, "run-1", 2);
-    w.break_watches = true;
-    w.run(4_000);
+    // What is open is not read any more, and all else is answered.
+    (w.break_watches, w.break_lists) = (true, true);
+    w.run(3_500);
     w.silent_peers.insert(old);
     assert_eq!(w.abort(other, "run-1"), Some(Phase::Aborted));
     w.silent_peers.clear();
-    // Beats come again, and so do answers to renewals; rereading does not.
-    w.run(1_000);
+    w.run(4_000);
+    assert_eq!(w.leader(), Some(old), "its lease is renewed all the time");
     w.state_down = true;
-    w.run(CANCEL_MS + 10_000);
+    w.run(CANCEL_MS);
+    assert!(w.on_machines("run-1").is_empty());
+    clean(&w);
+}
+
+/// Without an outage too: what it can't read of the records it may not go on keeping alive.
+#[test]
+fn a_leader_that_can_not_read_what_is_open_stops_answering_in_time() {
+    let mut w = world(3, 2, 0.0);
+    let old = w.leader().expect("leader");
+    let other = follower(&w);
+    long_job(&mut w, "run-1", 2);
+    (w.break_watches, w.break_lists) = (true, true);
+    w.run(3_500);
+    w.silent_peers.insert(old);
+    assert_eq!(w.abort(other, "run-1"), Some(Phase::Aborted));
+    w.run(CANCEL_MS);
     assert!(w.on_machines("run-1").is_empty());
+    w.silent_peers.clear();
+    (w.break_watches, w.break_lists) = (false, false);
+    assert!(w.until(20_000, |w| w.phase(old, "run-1") == Some(Phase::Aborted)));
     clean(&w);
 }
 
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -93,6 +93,8 @@
     txns: u64,
     /// Watches break: what they would tell can't be read.
     pub break_watches: bool,
+    /// So do readings of many records at a time.
+    pub break_lists: bool,
     /// How often a node asked to be woken and was.
     pub ticks: u64,
     /// Workers by machine name.
@@ -189,6 +191,7 @@
             lose_txns: 0,
             txns: 0,
             break_watches: false,
+            break_lists: false,
             ticks: 0,
             workers: BTreeMap::new(),
             capacity: 0,
@@ -569,7 +572,8 @@
             self.push(self.now + ms, Event::ToState(call));
             at = told_at;
             Some(Err(CallError::Unknown))
-        } else if (self.break_watches && call.path == "/changes")
+        } else if (self.break_watches && call.path.starts_with("/changes"))
+            || (self.break_lists && call.path.starts_with("/kv?"))
             || (lost && !self.txns.is_multiple_of(2 * self.lose_txns))
         {
             Some(Err(CallError::Unknown))
@@ -847,6 +851,7 @@
         self.late_txns.clear();
         self.lose_txns = 0;
         self.break_watches = false;
+        self.break_lists = false;
         self.troubles = Troubles::default();
         for w in self.workers.values_mut() {
             w.heal(self.now);
