--- /dev/null
+++ b/crates/control/tests/troubles.rs
@@ -0,0 +1,328 @@
+//! Two troubles that meet, a story for each such meeting. The world checks every rule at every step.
+
+mod common;
+
+use common::*;
+use fakes::{array, CopyTo, World};
+use vetchmount_control::settings::Team;
+use wire::users::{Phase, Submission};
+
+/// Asks every node about some jobs at every step for a while, and repeats a submission now and then.
+fn look_closely(w: &mut World, ids: &[&str], ms: u64) {
+    for round in 0..ms / 10 {
+        for node in 0..3 {
+            for id in ids {
+                w.send(node, "GET", &format!("/submissions/{id}"), vec![]);
+            }
+            if round % 7 == node as u64 {
+                let again = wire::encode(&w.jobs[ids[0]]);
+                w.send(node, "POST", "/submissions", again);
+            }
+        }
+        w.run(10);
+    }
+}
+
+#[test]
+fn close_looks_at_all_nodes_never_hear_anything_older() {
+    for seed in 0..6 {
+        let mut w = world(3, 3, 0.0);
+        w.seed(seed);
+        // Answers of the store take so long that newer ones overtake them.
+        for (node, ms) in [(0, 0), (1, 300), (2, 120)] {
+            w.troubles.slow_state.insert(node, ms);
+        }
+        for id in ["run-1", "run-2", "run-3"] {
+            assert_eq!(w.submit(seed as usize % 3, &array(id, 2), runs(1_500)), 201);
+            look_closely(&mut w, &[id], 100);
+        }
+        w.send(1, "POST", "/submissions/run-3/abort", vec![]);
+        look_closely(&mut w, &["run-3", "run-1", "run-2"], 6_000);
+        w.troubles.slow_state.clear();
+        assert!(done(&mut w, "run-1", 10_000) && done(&mut w, "run-2", 10_000));
+        assert_eq!(w.phase(2, "run-3"), Some(Phase::Aborted));
+        clean(&w);
+    }
+}
+
+#[test]
+fn answers_lost_while_others_read_what_was_written() {
+    for seed in 0..6 {
+        let mut w = world(3, 3, 0.0);
+        w.seed(seed);
+        w.troubles.lost_answers = 0.4;
+        let ids: Vec<String> = (0..6).map(|n| format!("run-{n}")).collect();
+        for (n, id) in ids.iter().enumerate() {
+            w.describe(&array(id, 2), runs(2_000));
+            let body = wire::encode(&array(id, 2));
+            // Whoever heard nothing asks elsewhere.
+            for k in 0..3 {
+                w.send((n + k) % 3, "POST", "/submissions", body.clone());
+                w.run(40);
+                w.send(
+                    (n + k + 1) % 3,
+                    "GET",
+                    &format!("/submissions/{id}"),
+                    vec![],
+                );
+            }
+            if n % 3 == 0 {
+                w.send(n % 2, "POST", &format!("/submissions/{id}/abort"), vec![]);
+            }
+            w.run(300);
+        }
+        for _ in 0..40 {
+            for id in &ids {
+                for node in 0..3 {
+                    w.send(node, "GET", &format!("/submissions/{id}"), vec![]);
+                }
+            }
+            w.run(250);
+        }
+        w.troubles.lost_answers = 0.0;
+        let over = |w: &mut World, id: &String| {
+            w.until(30_000, |w| {
+                matches!(w.phase(0, id), Some(Phase::Done | Phase::Aborted))
+            })
+        };
+        assert!(ids.iter().all(|id| over(&mut w, id)), "seed {seed}");
+        clean(&w);
+    }
+}
+
+/// Two teams that may have two and three GPUs.
+fn limited(nodes: usize, machines: usize) -> World {
+    let mut w = World::new(nodes, |i| {
+        let mut s = settings(i, nodes, 0.0);
+        let team = |name: &str, gpus_max: f64| Team {
+            name: name.into(),
+            cpus: 0.0,
+            cpus_max: 0.0,
+            gpus: 0.0,
+            gpus_max,
+        };
+        s.deployment.teams = vec![team("t", 4.0), team("u", 3.0)];
+        s
+    });
+    for m in 0..machines {
+        w.add_machine(&format!("vm-{m:06}"), if m % 2 == 0 { "a" } else { "b" });
+    }
+    assert!(w.until(6_000, |w| w.leader().is_some()), "a leader");
+    w.run(4_000);
+    w
+}
+
+fn of_team(id: &str, team: &str, tasks: u64) -> Submission {
+    Submission {
+        team: team.into(),
+        ..array(id, tasks)
+    }
+}
+
+#[test]
+fn teams_at_their_limit_while_cancelled_machines_are_cut_off_or_hang_and_the_leader_changes() {
+    for (cut, hang) in [(true, false), (false, true), (true, true)] {
+        let mut w = limited(3, 6);
+        for (id, team, tasks) in [("run-1", "t", 4), ("run-2", "u", 3)] {
+            assert_eq!(w.submit(0, &of_team(id, team, tasks), runs(60_000)), 201);
+        }
+        for (id, team) in [("run-3", "t"), ("run-4", "u")] {
+            assert_eq!(w.submit(1, &of_team(id, team, 12), runs(2_000)), 201);
+        }
+        assert!(w.until(10_000, |w| w.on_machines("run-1").len() == 4));
+        let old = w.leader().expect("leader");
+        let until = w.now + 9_000;
+        let names: Vec<String> = w.workers.keys().cloned().collect();
+        for (n, name) in names.iter().enumerate().take(4) {
+            let worker = w.workers.get_mut(name).expect("worker");
+            match n % 2 == 0 {
+                true if cut => worker.cut_until = until,
+                false if hang => worker.hung_until = until,
+                _ => {}
+            }
+        }
+        let other = follower(&w);
+        for id in ["run-1", "run-2"] {
+            w.send(other, "POST", &format!("/submissions/{id}/abort"), vec![]);
+        }
+        w.run(60);
+        w.crash(old);
+        w.run(2_500);
+        w.start(old);
+        for id in ["run-3", "run-4"] {
+            assert!(
+                w.until(90_000, |w| w.phase(other, id) == Some(Phase::Done)),
+                "{id}"
+            );
+        }
+        for id in ["run-1", "run-2"] {
+            assert_eq!(w.phase(other, id), Some(Phase::Aborted));
+        }
+        clean(&w);
+    }
+}
+
+#[test]
+fn jobs_cancelled_in_the_seconds_in_which_leadership_changes_hands() {
+    for seed in 0..8 {
+        let mut w = world(3, 4, 0.0);
+        w.seed(seed);
+        let ids: Vec<String> = (0..8).map(|n| format!("run-{n}")).collect();
+        for id in &ids {
+            assert_eq!(w.submit(1, &array(id, 2), runs(600_000)), 201);
+        }
+        w.run(5_000);
+        let old = w.leader().expect("leader");
+        match seed % 4 {
+            0 => w.crash(old),
+            1 => {
+                w.refused.insert(old);
+            }
+            2 => {
+                w.troubles.frozen.insert(old, w.now + 5_000);
+            }
+            _ => {
+                w.refused.insert(old);
+                w.silent_peers.insert(old);
+            }
+        }
+        for (n, id) in ids.iter().enumerate() {
+            let node = (old + 1 + n % 2) % 3;
+            w.send(node, "POST", &format!("/submissions/{id}/abort"), vec![]);
+            w.run(30 * (seed + 1) * n as u64 % 900);
+        }
+        if seed % 4 == 0 {
+            w.start(old);
+        }
+        w.run(6_000);
+        w.refused.clear();
+        w.silent_peers.clear();
+        w.run(34_000);
+        for id in &ids {
+            assert!(w.on_machines(id).is_empty(), "{id}, seed {seed}");
+            assert_eq!(w.phase(old, id), Some(Phase::Aborted), "seed {seed}");
+        }
+        assert!(w.rules.late_starts.is_empty(), "{:?}", w.rules.late_starts);
+        clean(&w);
+    }
+}
+
+#[test]
+fn machines_up_at_once_get_work_while_writes_lag_and_the_leader_ends() {
+    for seed in 0..8 {
+        let mut w = world(3, 0, 0.0);
+        w.seed(seed);
+        w.capacity = 6;
+        w.boot_ms = 0..=2_000;
+        w.troubles.slow_to_state = (0..3).map(|n| (n, 700)).collect();
+        w.troubles.late_txns = 0.1;
+        for n in 0..6 {
+            let job = array(&format!("run-{n}"), 3);
+            w.describe(&job, runs(8_000));
+            w.send(n % 3, "POST", "/submissions", wire::encode(&job));
+        }
+        w.run(2_500 + 400 * seed);
+        let old = w.leader().expect("leader");
+        w.crash(old);
+        w.run(300);
+        w.start(old);
+        w.run(4_000);
+        if let Some(next) = w.leader() {
+            w.crash(next);
+            w.run(1_000);
+            w.start(next);
+        }
+        w.run(5_000);
+        w.heal();
+        w.run(3_000);
+        for n in 0..6 {
+            let job = array(&format!("run-{n}"), 3);
+            w.submit(n % 3, &job, runs(8_000));
+            assert!(done(&mut w, &job.id, 90_000), "{} seed {seed}", job.id);
+        }
+        clean(&w);
+    }
+}
+
+/// Copies of reports of an earlier term reach every node just as a new leader begins: they neither prove that a task is
+/// gone nor that a machine lives.
+#[test]
+fn an_old_report_reaches_every_node_as_a_new_leader_begins() {
+    for seed in 0..6 {
+        let mut w = limited(3, 5);
+        w.seed(seed);
+        w.troubles.late_reports = Some((1.0, CopyTo::NextLeader));
+        assert_eq!(w.submit(0, &of_team("run-1", "t", 4), runs(20_000)), 201);
+        assert_eq!(w.submit(0, &of_team("run-2", "u", 8), runs(1_000)), 201);
+        w.run(1_500 + 300 * seed);
+        let old = w.leader().expect("leader");
+        // Some machines are cut off, so that nothing but the copy tells of them.
+        let until = w.now + 20_000;
+        for worker in w.workers.values_mut().take(2) {
+            worker.cut_until = until;
+        }
+        w.crash(old);
+        w.run(200 * seed);
+        w.start(old);
+        let other = (old + 1) % 3;
+        assert!(w.until(120_000, |w| w.phase(other, "run-1") == Some(Phase::Done)));
+        assert!(w.until(60_000, |w| w.phase(other, "run-2") == Some(Phase::Done)));
+        clean(&w);
+    }
+}
+
+#[test]
+fn one_task_jobs_come_four_a_second_and_a_quarter_is_cancelled() {
+    let mut w = world(3, 6, 0.0);
+    // Each job costs at least three changes, and what its start and its cancellation take besides.
+    let limits = w.state.limits.as_mut().expect("limits");
+    limits.write_rps = 25.0;
+    let mut ids = Vec::new();
+    for n in 0..240_u64 {
+        let id = format!("run-{n}");
+        w.describe(&array(&id, 1), runs(1_500));
+        w.send(
+            (n % 3) as usize,
+            "POST",
+            "/submissions",
+            wire::encode(&array(&id, 1)),
+        );
+        ids.push(id);
+        w.run(250);
+        if n % 4 == 3 {
+            let early = &ids[(n - n % 3) as usize];
+            w.send(
+                (n % 2) as usize,
+                "POST",
+                &format!("/submissions/{early}/abort"),
+                vec![],
+            );
+        }
+        if n == 120 {
+            let old = w.leader().expect("leader");
+            w.crash(old);
+            w.run(1_000);
+            w.start(old);
+        }
+    }
+    w.run(5_000);
+    let mut open = Vec::new();
+    for id in &ids {
+        // Those whose submission was turned away are sent again, as their users do.
+        if w.phase(0, id).is_none() {
+            assert!(matches!(w.submit(1, &array(id, 1), runs(1_500)), 200 | 201));
+            open.push(id.clone());
+        }
+    }
+    assert!(open.len() < 60, "{} were refused", open.len());
+    w.run(30_000);
+    for id in &ids {
+        let phase = w.phase(1, id);
+        assert!(
+            matches!(phase, Some(Phase::Done | Phase::Aborted)),
+            "{id} {phase:?}"
+        );
+    }
+    assert!(w.rules.late_starts.is_empty(), "{:?}", w.rules.late_starts);
+    clean(&w);
+}
