--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -285,6 +285,11 @@
         self.nodes[i].node.as_ref().and_then(Node::leads)
     }
 
+    /// Whether a node's process has ended.
+    pub fn is_down(&self, i: usize) -> bool {
+        self.nodes[i].node.is_none()
+    }
+
     /// Adds a machine that is up.
     pub fn add_machine(&mut self, name: &str, zone: &str) {
         let worker = FakeWorker::new(name, zone, false, self.now);
@@ -694,6 +699,7 @@
             }
         }
         let mut reports = Vec::new();
+        let mut completed = Vec::new();
         let stuck = self.stuck_workers;
         let nodes = self.nodes.len();
         self.workers
@@ -703,10 +709,14 @@
                 let key = (job.to_string(), attempt);
                 gangs.get(&key).copied().unwrap_or_default()
             };
-            let completed = w.advance(now, (lease_ms, peer_ms), |t| behave(jobs, t), gang);
-            for task in completed {
-                self.rules.completed(&task);
-            }
+            let rules = &self.rules;
+            completed.extend(w.advance(
+                now,
+                (lease_ms, peer_ms),
+                |t| behave(jobs, t),
+                |t| rules.has_completed(t),
+                gang,
+            ));
             if now < w.hung_until {
                 continue;
             }
@@ -728,6 +738,9 @@
                 }
             }
         }
+        for task in completed {
+            self.rules.completed(task);
+        }
         for (name, node, seq, report) in reports {
             let body = wire::encode(&report);
             self.copy_late(node, &body, lease_ms);
--- a/crates/fakes/src/rules.rs
+++ b/crates/fakes/src/rules.rs
@@ -285,10 +285,13 @@
     }
 
     /// A task completed on its machine.
-    pub fn completed(&mut self, task: &str) {
-        if !self.completed.contains(task) {
-            self.completed.insert(task.to_string());
-        }
+    pub fn completed(&mut self, task: impl Into<String>) {
+        self.completed.insert(task.into());
+    }
+
+    /// Whether a task has completed on some machine.
+    pub fn has_completed(&self, task: &str) -> bool {
+        self.completed.contains(task)
     }
 
     /// Looks at all tasks that are on machines now. `ended` tells whether a job is recorded as done.
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -251,12 +251,13 @@
     }
 
     /// Lets time pass for its tasks, given the lease and the time after which a gang's tasks miss each other. `gang`
-    /// tells who of an attempt is there. Returns tasks that completed.
+    /// tells who of an attempt is there, `has_result` which tasks have completed before. Returns tasks that completed.
     pub fn advance(
         &mut self,
         now: u64,
         (lease_ms, peer_ms): (u64, u64),
         behave: impl Fn(&str) -> Option<Behaviour>,
+        has_result: impl Fn(&str) -> bool,
         gang: impl Fn(&str, u64) -> Gang,
     ) -> Vec<String> {
         if now > self.lease_from + lease_ms {
@@ -290,6 +291,8 @@
                     self.images.insert(job_of(name).to_string());
                     if b.fails {
                         end(t, Cause::Error);
+                    } else if has_result(name) {
+                        end(t, Cause::Done);
                     } else if b.gang > 0 {
                         t.phase = TaskPhase::Waiting;
                         t.next_at = now + 35_000;
