Gangs kept out by their team's limit get in, and keep no other work out for long; unknown zones count

A gang larger than its team's guarantee ranked behind everything that fits into it, so what was left to it by the limit was filled again each round, while tasks of the team that take no GPU at all waited for it beside idle machines, for minutes. Now the gang goes before what ranks behind it apart from the guarantee, resource by resource, for 55 s out of 75. And a place on a machine not heard of yet counts in every zone where a job may have only half of its tasks in one: a new leader started the one task too many.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -212,8 +212,13 @@
 pub const COMING_S: f64 = 10.0;
 /// Factor of a type's boot time after which a machine that is not up is no longer counted on by gangs.
 pub const BOOT_OVERDUE: f64 = 1.5;
+/// Seconds for which what is left of a team's limit is kept for its gangs, and then not: nothing else of the team may
+/// wait for a minute and a half beside free machines.
+pub const CLAIM_S: u64 = 55;
+/// See above.
+pub const CLAIM_PAUSE_S: u64 = 20;
 /// Seconds beyond which a running task keeps a gang of its team out by the team's limit, whatever is left to the gang.
-pub const LASTING_S: f64 = 90.0;
+pub const LASTING_S: f64 = 55.0;
 /// Boots of a type that must have been seen until what is late is told by them.
 pub const BOOTS_SEEN: f64 = 10.0;
 /// How much worse a machine is for each second until its next report, when a start can first be sent; see `misfit`
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -4,6 +4,7 @@
 use super::*;
 use sched::{
     pilots_of, queue_of, Decision, JobView, MachineView, Res, Round, RunningView, TeamView, View,
+    UNKNOWN_ZONE,
 };
 
 /// Numbers names for the scheduler.
@@ -198,7 +199,7 @@
                 pilots += u32::from(place.is_some_and(|p| p.pilot));
                 let known = self.machines.get(machine).filter(|m| m.known);
                 // A place whose zone is not known yet counts as a zone of its own: nothing is near it.
-                let zone = known.map_or(usize::MAX, |m| zones.number(&m.zone));
+                let zone = known.map_or(UNKNOWN_ZONE, |m| zones.number(&m.zone));
                 match used.iter_mut().find(|(z, _)| *z == zone) {
                     Some((_, n)) => *n += 1,
                     None => used.push((zone, 1)),
@@ -296,6 +297,7 @@
                     .filter_map(|m| index.get(m.as_str()).copied())
                     .collect(),
                 resting: job.is_resting(now.unix),
+                claims: now.unix / 1000 % (CLAIM_S + CLAIM_PAUSE_S) < CLAIM_S,
                 aged: {
                     let begun = job.first_run.is_some() || job.placed > 0 || job.done > 0;
                     let age_s = now.unix.saturating_sub(job.ready_at) as f64 / 1000.0;
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -316,6 +316,7 @@
             kept: vec![],
             aged: false,
             resting: false,
+            claims: true,
         };
         let offer = |zone| Offer {
             kind: 0,
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -10,7 +10,9 @@
 
 pub use fleet::{plan_fleet, FleetView, Offer, RentWish};
 pub use ranges::RangeSet;
-pub use round::{Decision, JobView, MachineView, Outcome, Round, RunningView, TeamView, View};
+pub use round::{
+    Decision, JobView, MachineView, Outcome, Round, RunningView, TeamView, View, UNKNOWN_ZONE,
+};
 pub use sampling::{pilots_of, queue_of, weight_of, Policy};
 
 /// Amounts of a machine or of a task.
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -10,6 +10,9 @@
 use crate::{weight_of, Policy, Res};
 use constants::{COMING_S, FRAGILE_COST, LASTING_S, REACH_COST};
 
+/// Number of the zone of a place whose machine has not been heard of yet.
+pub const UNKNOWN_ZONE: usize = usize::MAX;
+
 /// A machine that tasks could be placed on.
 #[derive(Debug, Clone)]
 pub struct MachineView {
@@ -155,6 +158,8 @@
     pub aged: bool,
     /// A gang that has waited in vain for long: nothing is kept, stopped or rented for it for a while.
     pub resting: bool,
+    /// Whether a gang may at this time keep its team's other work from what is left of the team's limit.
+    pub claims: bool,
 }
 
 /// A task on a machine that could be stopped.
@@ -242,8 +247,8 @@
     next_task: Vec<usize>,
     blocked: Vec<bool>,
     reserved: Vec<Option<usize>>,
-    /// What of each team's limit is left to a gang that the limit keeps waiting.
-    promised: Vec<Res>,
+    /// The gang of each team that the team's limit keeps waiting and that is left what it needs, with that.
+    promised: Vec<Option<(usize, Res)>>,
     /// What of each team's use is expected to go on for long.
     lasting: Vec<Res>,
     decisions: Vec<Decision>,
@@ -305,7 +310,7 @@
             next_task: vec![0; jobs],
             blocked: vec![false; jobs],
             reserved,
-            promised: vec![Res::default(); teams],
+            promised: vec![None; teams],
             lasting,
             decisions: Vec::new(),
             least,
@@ -313,6 +318,12 @@
             victims: None,
         };
         round.open = (0..machines).filter(|&m| round.is_open(m)).collect();
+        // A gang larger than its team's guarantee ranks behind all that fits into it, and would never get in.
+        let mut gangs: Vec<usize> = (0..jobs).filter(|&j| round.is_kept_out(j)).collect();
+        gangs.sort_by(|a, b| round.before_in_team(*a, *b));
+        for gang in gangs {
+            round.promise(gang);
+        }
         round
     }
 
@@ -387,12 +398,13 @@
         if j.one_zone && j.zones_used.iter().any(|(z, n)| *z != zone && *n > 0) {
             return 0;
         }
-        let used = j
-            .zones_used
-            .iter()
-            .find(|(z, _)| *z == zone)
-            .map_or(0, |(_, n)| *n);
-        j.zone_cap.map_or(u32::MAX, |cap| cap.saturating_sub(used))
+        let Some(cap) = j.zone_cap else {
+            return u32::MAX;
+        };
+        // What is in a zone that nobody knows yet may be in this one.
+        let here = |z: usize| z == zone || z == UNKNOWN_ZONE;
+        let used = j.zones_used.iter().filter(|(z, _)| here(*z));
+        cap.saturating_sub(used.map(|(_, n)| n).sum())
     }
 
     fn open_to(&self, job: usize, machine: usize) -> bool {
@@ -564,6 +576,22 @@
             .map(|(_, chosen)| chosen)
     }
 
+    /// Whether a gang waits for its team's limit alone to let it in.
+    fn is_kept_out(&self, job: usize) -> bool {
+        let j = &self.view.jobs[job];
+        j.gang && self.left(job) > 0 && !self.view.teams[j.team].allows(&self.demand(job))
+    }
+
+    /// Order within a team, where its guarantee is of no account.
+    fn before_in_team(&self, a: usize, b: usize) -> std::cmp::Ordering {
+        let rank = |job: usize| Rank {
+            entitled: 0,
+            ..self.rank(job)
+        };
+        let order = rank(a).partial_cmp(&rank(b));
+        order.unwrap_or(std::cmp::Ordering::Equal).then(a.cmp(&b))
+    }
+
     /// Small tasks that rank behind would keep a team at its limit, and a gang out for ever: what it needs is left to
     /// it, one gang a team at a time. Not if what runs on for long, other gangs mostly, keeps it out in any case.
     fn promise(&mut self, job: usize) {
@@ -571,8 +599,24 @@
         let demand = self.demand(job);
         let limit = self.view.teams[j.team].limit;
         let open = TeamView::within(limit, true, &self.lasting[j.team], &demand);
-        if j.gang && !j.resting && open && self.promised[j.team] == Res::default() {
-            self.promised[j.team] = demand;
+        if j.gang && j.claims && !j.resting && open && self.promised[j.team].is_none() {
+            self.promised[j.team] = Some((job, demand));
+        }
+    }
+
+    /// What of its team's limit is left to a gang that goes before this job: only of what the job takes itself, or a
+    /// task without GPUs would wait for those of a gang.
+    fn left_to_gang(&self, job: usize) -> Res {
+        let j = &self.view.jobs[job];
+        let first = |gang: usize| gang != job && self.before_in_team(gang, job).is_lt();
+        let Some((_, kept)) = self.promised[j.team].filter(|(gang, _)| first(*gang)) else {
+            return Res::default();
+        };
+        let of = |kept: f64, takes: f64| if takes > 0.0 { kept } else { 0.0 };
+        Res {
+            cpus: of(kept.cpus, j.task.cpus),
+            gpus: of(kept.gpus, j.task.gpus),
+            mem: 0.0,
         }
     }
 
@@ -582,7 +626,7 @@
         let number = self.view.jobs[job].team;
         let team = &self.view.teams[number];
         let mut with = demand;
-        with.add(&self.promised[number]);
+        with.add(&self.left_to_gang(job));
         if !team.allows(&with) {
             self.blocked[job] = true;
             self.promise(job);
--- a/crates/sched/src/round/tests.rs
+++ b/crates/sched/src/round/tests.rs
@@ -55,6 +55,7 @@
         kept: vec![],
         aged: false,
         resting: false,
+        claims: true,
     }
 }
 
