--- a/crates/control/tests/meetings.rs
+++ b/crates/control/tests/meetings.rs
@@ -16,8 +16,9 @@
 const SEEDS: u64 = 12;
 /// Milliseconds during which troubles are drawn.
 const TROUBLED_MS: u64 = 120_000;
-/// Milliseconds that a healed world has for its work at most.
-const HEALED_MS: u64 = 300_000;
+/// Milliseconds after which something completes at the latest in a healed world with work left: the longest run time
+/// twice, and time to begin.
+const STUCK_MS: u64 = 150_000;
 /// Milliseconds that a healed world is watched at least.
 const WATCHED_MS: u64 = 100_000;
 
@@ -25,6 +26,8 @@
 #[derive(Debug, Clone)]
 enum End {
     Start(usize),
+    /// Not the end of a trouble but the next of many: the leader ends and is back soon.
+    Leader,
     Outage,
     Refused(usize),
     CutNode(usize),
@@ -57,6 +60,8 @@
     jobs: Vec<Job>,
     /// Questions whose answers decide what a user does next.
     submits: BTreeMap<u64, usize>,
+    /// Submissions of jobs that can't run.
+    unfit: Vec<u64>,
     ends: Vec<(u64, End)>,
     log: String,
     burst_until: u64,
@@ -96,6 +101,7 @@
             nodes,
             jobs: Vec::new(),
             submits: BTreeMap::new(),
+            unfit: Vec::new(),
             ends: Vec::new(),
             log: String::new(),
             burst_until: 0,
@@ -154,21 +160,22 @@
                 self.note(&format!("node {node} ends, back in {pause} ms"));
                 self.w.crash(node);
                 self.end_in(pause, End::Start(node));
+                if self.rng.u8(..3) == 0 {
+                    self.cancel_some();
+                }
             }
             2 => {
-                let pause = self.between(0, 16_000);
-                self.note(&format!("all nodes end, back in {pause} ms"));
+                let (pause, more) = (self.between(0, 16_000), self.between(0, 5_000));
+                self.note(&format!("all nodes end, back in {pause} ms and more"));
                 for node in 0..self.nodes {
                     self.w.crash(node);
-                    self.end_in(pause, End::Start(node));
+                    self.end_in(pause + node as u64 * more, End::Start(node));
                 }
             }
             3 => {
                 self.note("leaders end again and again");
-                for n in 0..5 {
-                    let node = self.node();
-                    self.end_in(n * 2_500 + 2_000, End::Start(node));
-                    self.ends.push((now + n * 2_500, End::Peers(usize::MAX)));
+                for n in 0..8 {
+                    self.end_in(n * 2_500, End::Leader);
                 }
             }
             4 | 5 => {
@@ -328,7 +335,7 @@
         let now = self.w.now;
         let open = |j: &&mut Job| j.cancel_at == u64::MAX && !j.refused;
         for job in self.jobs.iter_mut().filter(open) {
-            if self.rng.u8(..5) == 0 {
+            if self.rng.u8(..10) == 0 {
                 job.cancel_at = now + self.rng.u64(..200);
             }
         }
@@ -349,11 +356,9 @@
                 self.w.troubles.cut_from_state.remove(&node);
                 self.w.silent_peers.remove(&node);
             }
-            // Not the end of a trouble but the next of many: the leader ends and is back soon.
-            End::Peers(usize::MAX) => {
-                let node = self.victim();
+            End::Leader => {
+                let (node, pause) = (self.victim(), self.between(0, 4_000));
                 self.w.crash(node);
-                let pause = self.between(0, 4_000);
                 self.end_in(pause, End::Start(node));
             }
             End::Peers(node) => {
@@ -447,6 +452,43 @@
         });
     }
 
+    /// Users ask for what can't be, and call off what is done.
+    fn odd_requests(&mut self) {
+        let node = self.node();
+        let id = format!("run-{}", 9_000 + self.rng.u64(..1_000));
+        match self.rng.u8(..4) {
+            0 => self.look(node, &id),
+            1 => {
+                let abort = format!("/submissions/{id}/abort");
+                self.w.send(node, "POST", &abort, vec![]);
+            }
+            2 => {
+                let unfit = match self.rng.u8(..3) {
+                    0 => Submission {
+                        gpus: 5.0,
+                        ..array(&id, 1)
+                    },
+                    1 => Submission {
+                        team: "nobody".into(),
+                        ..array(&id, 1)
+                    },
+                    _ => array(&id, 0),
+                };
+                let body = wire::encode(&unfit);
+                let request = self.w.send(node, "POST", "/submissions", body);
+                self.unfit.push(request);
+            }
+            _ => {
+                let done = |j: &&Job| self.w.rules.end(&j.spec.id) == Some(Phase::Done);
+                let done: Vec<&Job> = self.jobs.iter().filter(done).collect();
+                if let Some(job) = self.rng.choice(done) {
+                    let abort = format!("/submissions/{}/abort", job.spec.id);
+                    self.w.send(node, "POST", &abort, vec![]);
+                }
+            }
+        }
+    }
+
     fn look(&mut self, node: usize, id: &str) {
         self.w
             .send(node, "GET", &format!("/submissions/{id}"), vec![]);
@@ -476,6 +518,13 @@
                 self.jobs[j].refused |= matches!(status, 400 | 422);
             }
         }
+        for request in std::mem::take(&mut self.unfit) {
+            match self.w.answer(request) {
+                Some((200..=299, _)) => self.w.broken.push(format!("accepted_unfit at {now}")),
+                Some(_) => {}
+                None => self.unfit.push(request),
+            }
+        }
         for j in 0..self.jobs.len() {
             let id = self.jobs[j].spec.id.clone();
             let accepted = self.w.rules.is_accepted(&id);
@@ -550,6 +599,9 @@
             for (_, end) in due {
                 self.end(end);
             }
+            if self.rng.u8(..100) == 0 {
+                self.odd_requests();
+            }
             let burst = now < self.burst_until;
             if now >= self.next_new && self.jobs.len() < 90 {
                 self.new_job(burst);
@@ -566,8 +618,13 @@
         for job in &mut self.jobs {
             job.gives_up = 0;
         }
-        while self.w.now < healed + HEALED_MS {
+        let mut progress = (0, healed);
+        while self.w.now < progress.1 + STUCK_MS {
             self.step_users(500);
+            let completions = self.w.rules.completions();
+            if completions > progress.0 {
+                progress = (completions, self.w.now);
+            }
             if self.w.now > healed + WATCHED_MS && self.unfinished().is_empty() {
                 break;
             }
@@ -605,7 +662,19 @@
     let unfinished = story.unfinished();
     let (broken, late) = (&story.w.broken, &story.w.rules.late_starts);
     if std::env::var("SEED").is_ok() {
-        println!("{}late starts: {late:#?}", story.log);
+        let count = |is: &dyn Fn(&str) -> bool| {
+            let ids = story.jobs.iter().map(|j| j.spec.id.as_str());
+            ids.filter(|id| is(id)).count()
+        };
+        let r = &story.w.rules;
+        println!(
+            "{}{} jobs, {} accepted, {} done, {} cancelled, late starts {late:?}",
+            story.log,
+            story.jobs.len(),
+            count(&|id| r.is_accepted(id)),
+            count(&|id| r.end(id) == Some(Phase::Done)),
+            count(&|id| r.end(id) == Some(Phase::Aborted)),
+        );
     }
     if broken.is_empty() && unfinished.is_empty() {
         return None;
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -685,6 +685,11 @@
         let lease_ms = (self.settings[0].deployment.workers.lease_s * 1000.0) as u64;
         let report_ms = (self.settings[0].deployment.workers.report_s * 1000.0) as u64;
         let peer_ms = (self.settings[0].deployment.workers.gang_peer_s * 1000.0) as u64;
+        self.workers
+            .retain(|_, w| w.taken_at.is_none_or(|at| now < at));
+        for w in self.workers.values_mut() {
+            w.wake(now, lease_ms);
+        }
         let jobs = &self.behaviour;
         let mut gangs: BTreeMap<(String, u64), Gang> = BTreeMap::new();
         for w in self.workers.values().filter(|w| now >= w.hung_until) {
@@ -694,16 +699,13 @@
                 }
                 let job = task.split('/').next().unwrap_or_default().to_string();
                 let gang = gangs.entry((job, attempt)).or_default();
-                gang.present += 1;
-                gang.waiting += u32::from(w.waits(task, attempt));
+                w.join(task, attempt, gang, now);
             }
         }
         let mut reports = Vec::new();
         let mut completed = Vec::new();
         let stuck = self.stuck_workers;
         let nodes = self.nodes.len();
-        self.workers
-            .retain(|_, w| w.taken_at.is_none_or(|at| now < at));
         for w in self.workers.values_mut() {
             let gang = |job: &str, attempt: u64| {
                 let key = (job.to_string(), attempt);
@@ -712,7 +714,7 @@
             let rules = &self.rules;
             completed.extend(w.advance(
                 now,
-                (lease_ms, peer_ms),
+                peer_ms,
                 |t| behave(jobs, t),
                 |t| rules.has_completed(t),
                 gang,
--- a/crates/fakes/src/rules.rs
+++ b/crates/fakes/src/rules.rs
@@ -294,6 +294,11 @@
         self.completed.contains(task)
     }
 
+    /// How many tasks have completed so far.
+    pub fn completions(&self) -> usize {
+        self.completed.len()
+    }
+
     /// Looks at all tasks that are on machines now. `ended` tells whether a job is recorded as done.
     pub fn look(
         &mut self,
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -23,6 +23,8 @@
     pub present: u32,
     /// Those of them that wait for the others.
     pub waiting: u32,
+    /// Those of them whose run time is over: they complete together.
+    pub due: u32,
 }
 
 /// How tasks of a job behave.
@@ -130,10 +132,13 @@
         self.only = None;
     }
 
-    /// Whether a task waits for the others of its gang.
-    pub fn waits(&self, task: &str, attempt: u64) -> bool {
-        let task = self.tasks.get(&(task.to_string(), attempt));
-        task.is_some_and(|t| t.phase == TaskPhase::Waiting)
+    /// Adds a task to what is known of its gang's attempt.
+    pub fn join(&self, task: &str, attempt: u64, gang: &mut Gang, now: u64) {
+        if let Some(t) = self.tasks.get(&(task.to_string(), attempt)) {
+            gang.present += 1;
+            gang.waiting += u32::from(t.phase == TaskPhase::Waiting);
+            gang.due += u32::from(t.phase == TaskPhase::Running && now >= t.next_at);
+        }
     }
 
     /// Its present report, numbered anew.
@@ -250,16 +255,9 @@
         fresh_starts
     }
 
-    /// Lets time pass for its tasks, given the lease and the time after which a gang's tasks miss each other. `gang`
-    /// tells who of an attempt is there, `has_result` which tasks have completed before. Returns tasks that completed.
-    pub fn advance(
-        &mut self,
-        now: u64,
-        (lease_ms, peer_ms): (u64, u64),
-        behave: impl Fn(&str) -> Option<Behaviour>,
-        has_result: impl Fn(&str) -> bool,
-        gang: impl Fn(&str, u64) -> Gang,
-    ) -> Vec<String> {
+    /// Looks at its clock: ends its session if no report was answered for too long, by itself also while it hangs, and
+    /// goes on with its tasks where they were when it hung.
+    pub fn wake(&mut self, now: u64, lease_ms: u64) {
         if now > self.lease_from + lease_ms {
             self.tasks.clear();
             self.session += 1;
@@ -267,7 +265,7 @@
             self.in_flight = None;
         }
         if now < self.hung_until {
-            return Vec::new();
+            return;
         }
         let hung_ms = self.hung_until.saturating_sub(self.awake_at);
         self.awake_at = now.max(self.hung_until);
@@ -276,6 +274,21 @@
                 t.next_at = t.next_at.saturating_add(hung_ms);
             }
         }
+    }
+
+    /// Lets time pass for its tasks, given the time after which a gang's tasks miss each other. `gang`
+    /// tells who of an attempt is there, `has_result` which tasks have completed before. Returns tasks that completed.
+    pub fn advance(
+        &mut self,
+        now: u64,
+        peer_ms: u64,
+        behave: impl Fn(&str) -> Option<Behaviour>,
+        has_result: impl Fn(&str) -> bool,
+        gang: impl Fn(&str, u64) -> Gang,
+    ) -> Vec<String> {
+        if now < self.hung_until {
+            return Vec::new();
+        }
         let mut completed = Vec::new();
         let mut changed = false;
         for ((name, attempt), t) in &mut self.tasks {
@@ -318,7 +331,7 @@
                         end(t, Cause::Peers);
                     }
                 }
-                TaskPhase::Running if now >= t.next_at => {
+                TaskPhase::Running if now >= t.next_at && there.due >= b.gang => {
                     changed = true;
                     end(t, Cause::Done);
                     completed.push(name.clone());
