--- a/crates/control/tests/troubles.rs
+++ b/crates/control/tests/troubles.rs
@@ -326,3 +326,340 @@
     assert!(w.rules.late_starts.is_empty(), "{:?}", w.rules.late_starts);
     clean(&w);
 }
+
+/// Ends the leader, and starts it again after a while.
+fn change_leader(w: &mut World, away_ms: u64) {
+    let Some(old) = w.leader() else {
+        return w.run(away_ms);
+    };
+    w.crash(old);
+    w.run(away_ms);
+    w.start(old);
+}
+
+/// All of these jobs are done before long, wherever one asks.
+fn all_done(w: &mut World, ids: &[&str], ms: u64) {
+    for id in ids {
+        assert!(done(w, id, ms), "{id}");
+        assert_eq!(w.phase(1, id), Some(Phase::Done));
+    }
+    clean(w);
+}
+
+#[test]
+fn a_leader_ends_while_machines_with_long_tasks_can_not_be_reached_or_hear_nothing() {
+    for (deaf, away_ms) in [(false, 0), (false, 4_000), (true, 0), (true, 4_000)] {
+        let mut w = world(3, 4, 0.0);
+        assert_eq!(w.submit(0, &array("run-1", 4), runs(25_000)), 201);
+        assert!(w.until(10_000, |w| w.on_machines("run-1").len() == 4));
+        let until = w.now + 30_000;
+        for worker in w.workers.values_mut().take(2) {
+            match deaf {
+                true => worker.one_way = true,
+                false => worker.cut_until = until,
+            }
+        }
+        w.run(300);
+        change_leader(&mut w, away_ms);
+        w.run(28_000);
+        w.heal();
+        all_done(&mut w, &["run-1"], 90_000);
+    }
+}
+
+#[test]
+fn arrays_bound_to_one_zone_or_spread_over_two_lose_machines_and_stay_within_bounds() {
+    for seed in 0..6 {
+        let mut w = world(3, 8, 0.0);
+        w.seed(seed);
+        w.capacity = 4;
+        let bound = Submission {
+            one_zone: true,
+            ..array("run-1", 6)
+        };
+        let named = Submission {
+            zone: Some("b".into()),
+            ..array("run-2", 6)
+        };
+        let spread = Submission {
+            spread: true,
+            ..array("run-3", 6)
+        };
+        for (n, job) in [&bound, &named, &spread].into_iter().enumerate() {
+            assert_eq!(w.submit(n, job, runs(6_000)), 201);
+        }
+        w.run(2_500 + 300 * seed);
+        // Most of a zone is silent, one machine is gone for good, and the next leader knows only records.
+        let until = w.now + 25_000;
+        let zone = if seed % 2 == 0 { "a" } else { "b" };
+        for worker in w.workers.values_mut().filter(|m| m.zone == zone).skip(1) {
+            worker.cut_until = until;
+        }
+        w.workers.remove("vm-000000");
+        change_leader(&mut w, 500);
+        all_done(&mut w, &["run-1", "run-2", "run-3"], 120_000);
+    }
+}
+
+#[test]
+fn more_work_than_room_urgent_and_not_over_slow_links() {
+    let mut w = world(3, 3, 0.0);
+    w.troubles.slow_state = (0..3).map(|n| (n, 400)).collect();
+    w.troubles.slow_to_state = (0..3).map(|n| (n, 400)).collect();
+    let mut ids = Vec::new();
+    for n in 0..10 {
+        let job = Submission {
+            priority: match n % 3 {
+                0 => wire::users::Priority::Low,
+                1 => wire::users::Priority::Normal,
+                _ => wire::users::Priority::Urgent,
+            },
+            gpus: 2.0,
+            ..array(&format!("run-{n}"), 3)
+        };
+        w.describe(&job, runs(3_000));
+        w.send(n % 3, "POST", "/submissions", wire::encode(&job));
+        w.run(400);
+        ids.push(job);
+    }
+    w.run(3_000);
+    change_leader(&mut w, 300);
+    w.run(10_000);
+    for job in &ids {
+        w.submit(1, job, runs(3_000));
+    }
+    let ids: Vec<&str> = ids.iter().map(|j| j.id.as_str()).collect();
+    all_done(&mut w, &ids, 120_000);
+}
+
+#[test]
+fn a_slow_store_refuses_the_leader_and_then_all_while_users_cancel_and_ask() {
+    for seed in 0..4 {
+        let mut w = world(3, 4, 0.0);
+        w.seed(seed);
+        w.troubles.slow_state = (0..3).map(|n| (n, 500)).collect();
+        for n in 0..4 {
+            let job = array(&format!("run-{n}"), 2);
+            w.describe(&job, runs(600_000));
+            w.send(n % 3, "POST", "/submissions", wire::encode(&job));
+        }
+        w.run(8_000);
+        let old = w.leader().expect("leader");
+        w.refused.insert(old);
+        let mut asked = Vec::new();
+        for n in 0..4 {
+            let abort = format!("/submissions/run-{n}/abort");
+            asked.push(w.send((old + 1 + n % 2) % 3, "POST", &abort, vec![]));
+            look_closely(&mut w, &["run-0", "run-1"], 200 + 150 * seed);
+        }
+        w.state_down = true;
+        w.run(10_000);
+        w.refused.clear();
+        w.run(35_000);
+        w.state_down = false;
+        w.run(5_000);
+        for n in 0..4 {
+            let id = format!("run-{n}");
+            assert_eq!(w.abort(old, &id), Some(Phase::Aborted));
+        }
+        w.run(15_000);
+        assert!((0..4).all(|n| w.on_machines(&format!("run-{n}")).is_empty()));
+        clean(&w);
+    }
+}
+
+#[test]
+fn leaders_change_ten_times_in_two_minutes_also_inside_an_outage() {
+    let mut w = limited(3, 5);
+    assert_eq!(w.submit(0, &of_team("run-1", "t", 12), runs(9_000)), 201);
+    assert_eq!(w.submit(0, &of_team("run-2", "u", 9), runs(5_000)), 201);
+    for n in 0..10 {
+        w.run(5_000);
+        w.state_down = n % 4 == 2;
+        w.run(1_000);
+        change_leader(&mut w, 300 * n);
+        w.run(2_000);
+        w.state_down = false;
+    }
+    all_done(&mut w, &["run-1", "run-2"], 90_000);
+}
+
+#[test]
+fn all_controllers_are_away_for_longer_than_a_lease() {
+    for one_first in [false, true] {
+        let mut w = limited(3, 4);
+        assert_eq!(w.submit(0, &of_team("run-1", "t", 6), runs(15_000)), 201);
+        assert_eq!(w.submit(0, &of_team("run-2", "u", 3), runs(600_000)), 201);
+        w.run(5_000);
+        assert_eq!(w.abort(0, "run-2"), Some(Phase::Aborted));
+        (0..3).for_each(|n| w.crash(n));
+        w.run(17_000);
+        w.start(0);
+        w.run(if one_first { 20_000 } else { 500 });
+        w.start(1);
+        w.start(2);
+        all_done(&mut w, &["run-1"], 90_000);
+        assert_eq!(w.phase(2, "run-2"), Some(Phase::Aborted));
+        clean(&w);
+    }
+}
+
+#[test]
+fn controllers_hand_over_and_back_all_end_and_one_returns_at_once() {
+    for away in [10, 200, 900, 2_500] {
+        let mut w = limited(3, 4);
+        assert_eq!(w.submit(0, &of_team("run-1", "t", 12), runs(4_000)), 201);
+        w.run(3_000);
+        for _ in 0..3 {
+            change_leader(&mut w, away);
+            w.run(1_500);
+        }
+        (0..3).for_each(|n| w.crash(n));
+        w.run(away);
+        w.start(1);
+        w.run(3_000);
+        w.start(0);
+        w.start(2);
+        all_done(&mut w, &["run-1"], 90_000);
+    }
+}
+
+#[test]
+fn commands_and_answers_held_for_seconds_arrive_when_they_no_longer_matter() {
+    for seed in 0..6 {
+        let mut w = limited(3, 4);
+        w.seed(seed);
+        assert_eq!(w.submit(0, &of_team("run-1", "t", 4), runs(40_000)), 201);
+        assert_eq!(w.submit(0, &of_team("run-2", "u", 6), runs(4_000)), 201);
+        w.run(1_500 + 400 * seed);
+        let until = w.now + 7_000;
+        for name in w.workers.keys().take(3) {
+            w.troubles.held_commands.insert(name.clone(), until);
+        }
+        let other = follower(&w);
+        w.send(other, "POST", "/submissions/run-1/abort", vec![]);
+        w.run(2_000);
+        if seed % 2 == 0 {
+            change_leader(&mut w, 500);
+        }
+        all_done(&mut w, &["run-2"], 90_000);
+        w.run(15_000);
+        assert!(w.on_machines("run-1").is_empty());
+        clean(&w);
+    }
+}
+
+#[test]
+fn a_zone_with_workers_and_a_controller_is_cut_off_for_longer_than_a_lease() {
+    for leads_inside in [true, false] {
+        let mut w = limited(3, 6);
+        assert_eq!(w.submit(0, &of_team("run-1", "t", 8), runs(20_000)), 201);
+        assert_eq!(w.submit(0, &of_team("run-2", "u", 3), runs(600_000)), 201);
+        w.run(6_000);
+        let leader = w.leader().expect("leader");
+        let inside = if leads_inside {
+            leader
+        } else {
+            (leader + 1) % 3
+        };
+        for worker in w.workers.values_mut().filter(|m| m.zone == "a") {
+            worker.only = Some(inside);
+        }
+        w.silent_peers.insert(inside);
+        w.troubles.cut_from_state.insert(inside);
+        w.run(1_000);
+        let other = (inside + 1) % 3;
+        assert!(w.until(10_000, |w| w.abort(other, "run-2") == Some(Phase::Aborted)));
+        w.run(40_000);
+        assert!(w.on_machines("run-2").is_empty(), "also in the cut zone");
+        w.heal();
+        all_done(&mut w, &["run-1"], 90_000);
+    }
+}
+
+#[test]
+fn jobs_of_two_or_three_tasks_end_far_apart_across_a_change_of_leader() {
+    let mut w = world(3, 3, 0.0);
+    for (n, tasks) in [2, 3, 3, 2].into_iter().enumerate() {
+        let id = format!("run-{n}");
+        // One task at a time: they begin and end far apart.
+        let job = Submission {
+            gpus: 4.0,
+            ..array(&id, tasks)
+        };
+        assert_eq!(w.submit(n % 3, &job, runs(6_000)), 201);
+    }
+    for _ in 0..3 {
+        w.run(7_000);
+        change_leader(&mut w, 700);
+        look_closely(&mut w, &["run-0", "run-1", "run-2", "run-3"], 150);
+    }
+    all_done(&mut w, &["run-0", "run-1", "run-2", "run-3"], 90_000);
+}
+
+#[test]
+fn workers_reach_no_controller_while_direct_commands_reach_them() {
+    for change in [false, true] {
+        let mut w = limited(3, 4);
+        assert_eq!(w.submit(0, &of_team("run-1", "t", 4), runs(600_000)), 201);
+        assert_eq!(w.submit(0, &of_team("run-2", "u", 3), runs(8_000)), 201);
+        w.run(6_000);
+        for worker in w.workers.values_mut() {
+            worker.mute = true;
+        }
+        w.run(3_000);
+        let other = follower(&w);
+        assert_eq!(w.abort(other, "run-1"), Some(Phase::Aborted));
+        if !change {
+            // Told directly, long before their leases run out.
+            assert!(w.until(3_000, |w| w.on_machines("run-1").is_empty()));
+        } else {
+            change_leader(&mut w, 300);
+        }
+        w.run(20_000);
+        assert!(w.on_machines("run-1").is_empty());
+        w.heal();
+        all_done(&mut w, &["run-2"], 90_000);
+    }
+}
+
+/// The leader hears of a cancellation only by notice, its lease is over, and its workers only hear direct commands.
+#[test]
+fn a_leader_without_its_lease_still_ends_what_is_cancelled() {
+    let mut w = world(3, 2, 0.0);
+    assert_eq!(w.submit(0, &array("run-1", 2), runs(600_000)), 201);
+    w.run(5_000);
+    w.state_down = true;
+    w.run(5_000);
+    // Out a moment longer for the leader, whose peers confirm a cancellation meanwhile.
+    let old = w.leader().expect("leader");
+    w.refused.insert(old);
+    w.state_down = false;
+    for worker in w.workers.values_mut() {
+        worker.mute = true;
+    }
+    let other = (old + 1) % 3;
+    assert!(w.until(1_500, |w| w.abort(other, "run-1") == Some(Phase::Aborted)));
+    assert!(w.until(1_200, |w| w.on_machines("run-1").is_empty()));
+    assert_eq!(w.leader(), Some(old), "nobody else was elected yet");
+    clean(&w);
+}
+
+#[test]
+fn a_leader_cut_from_state_and_peers_keeps_no_task_that_is_cancelled_through_the_new_one() {
+    for wait in [0, 3_000, 9_000] {
+        let mut w = world(3, 4, 0.0);
+        assert_eq!(w.submit(0, &array("run-1", 4), runs(600_000)), 201);
+        w.run(5_000);
+        let old = w.leader().expect("leader");
+        w.stuck_workers = Some(old);
+        w.silent_peers.insert(old);
+        w.troubles.cut_from_state.insert(old);
+        w.run(wait);
+        let other = (old + 1) % 3;
+        assert!(w.until(8_000, |w| w.abort(other, "run-1") == Some(Phase::Aborted)));
+        w.run(40_000);
+        assert!(w.on_machines("run-1").is_empty());
+        clean(&w);
+    }
+}
