Answers passed on by a peer reach only the process that asked; stories of late readings and old reports

They now begin at a number of the process, and the peer that answers has to be the one that was asked.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -18,6 +18,8 @@
 /// A request that a peer is handling for us.
 struct Forwarded {
     request: RequestId,
+    /// The peer that is to answer.
+    by: String,
     until: u64,
 }
 
@@ -42,8 +44,9 @@
     peers: Peers,
     /// Number of this process, and cancellations it has confirmed.
     boot: u64,
-    /// Added to the clock in beats, so that what a peer echoes of an earlier process of ours is told apart.
-    clock_base: u64,
+    /// Added to the clock in beats, and to the numbers of forwarded requests, so that what a peer echoes or answers of
+    /// an earlier process of ours is told apart.
+    process_base: u64,
     aborts: u64,
     next_call: CallId,
     out: VecDeque<Output>,
@@ -66,6 +69,7 @@
     /// Requests that we handle for peers: (peer, its number) by our number.
     serving: HashMap<RequestId, (String, u64)>,
     next_forward: u64,
+    next_serving: RequestId,
     last_now: Now,
 }
 
@@ -73,6 +77,11 @@
 const PEER_REQUESTS: u64 = 1 << 62;
 const REPORT: &str = "/v1/report";
 
+/// Where the numbers of a process begin that its peers give back to it.
+fn process_base(boot: u64) -> u64 {
+    (boot << 32) >> 1
+}
+
 impl Node {
     /// A node that has just started. `boot` is drawn at random for each start; `stopwatch` measures rounds.
     pub fn new(
@@ -99,8 +108,8 @@
             next_limbo: 0,
             peers: Peers::new(settings.siblings.iter().map(|s| s.label.clone())),
             boot,
-            // 31 bits of milliseconds stay free: three weeks.
-            clock_base: (boot << 32) >> 1,
+            // 31 bits stay free, of milliseconds three weeks.
+            process_base: process_base(boot),
             aborts: 0,
             next_call: 0,
             out: VecDeque::new(),
@@ -117,7 +126,8 @@
             next_release: 0,
             forwards: HashMap::new(),
             serving: HashMap::new(),
-            next_forward: 0,
+            next_forward: process_base(boot),
+            next_serving: PEER_REQUESTS,
             last_now: now,
             operator,
             stopwatch,
@@ -289,7 +299,7 @@
                     state_ago_ms,
                     leads: self.election.leads().is_some(),
                     worker_ago_ms: self.last_worker.map(ago),
-                    sent: self.clock_base + now,
+                    sent: self.process_base + now,
                     echo,
                     boot: self.boot,
                     aborts: self.aborts,
@@ -334,7 +344,7 @@
                 let up = self.state.is_up(now);
                 if !up && id < PEER_REQUESTS {
                     if let Some(peer) = self.peers.with_state(now) {
-                        let to = Some(peer.to_string());
+                        let to = peer.to_string();
                         return self.forward(id, method, target, body, to, mail);
                     }
                 }
@@ -350,7 +360,7 @@
         method: &str,
         target: &str,
         body: &[u8],
-        to: Option<String>,
+        to: String,
         mail: &mut Mail,
     ) {
         if self.forwards.len() >= USER_INFLIGHT {
@@ -363,10 +373,11 @@
             USER_DEADLINE_MS
         };
         let until = mail.now.mono + patience;
+        let by = to.clone();
         self.forwards
-            .insert(self.next_forward, Forwarded { request, until });
+            .insert(self.next_forward, Forwarded { request, by, until });
         mail.out.push(Output::Peer {
-            to,
+            to: Some(to),
             message: PeerMessage::Forward {
                 call: self.next_forward,
                 method: method.to_string(),
@@ -423,8 +434,8 @@
         let probe = deaf.is_some() && now.mono >= self.next_probe;
         if probe {
             self.next_probe = now.mono + PROBE_MS;
-        } else if deaf.is_some() && id < PEER_REQUESTS {
-            return self.forward(id, "POST", REPORT, body, deaf, mail);
+        } else if let Some(leader) = deaf.filter(|_| id < PEER_REQUESTS) {
+            return self.forward(id, "POST", REPORT, body, leader, mail);
         }
         self.send_elsewhere(id, mail);
     }
@@ -526,7 +537,7 @@
                 ..
             } => {
                 // An echo of what an earlier process sent would vouch for a time that its clock named, not ours.
-                let echo = echo.checked_sub(self.clock_base).filter(|at| *at <= now);
+                let echo = echo.checked_sub(self.process_base).filter(|at| *at <= now);
                 let echo = echo.unwrap_or(0);
                 let beat = PeerState {
                     at: now,
@@ -564,12 +575,16 @@
                 target,
                 body,
             } => {
-                self.next_forward += 1;
-                let id = PEER_REQUESTS + self.next_forward;
+                self.next_serving += 1;
+                let id = self.next_serving;
                 self.serving.insert(id, (from.to_string(), call));
                 self.on_request(id, &method, &target, &body, mail);
             }
             PeerMessage::Forwarded { call, status, body } => {
+                // Answers to an earlier process of ours, or of another peer, are about something else.
+                if self.forwards.get(&call).is_none_or(|f| f.by != from) {
+                    return;
+                }
                 if let Some(f) = self.forwards.remove(&call) {
                     mail.out.push(Output::Respond {
                         id: f.request,
--- a/crates/control/tests/troubles.rs
+++ b/crates/control/tests/troubles.rs
@@ -663,3 +663,120 @@
         clean(&w);
     }
 }
+
+/// A copy that tells of a machine as it was before a task began there reaches the next leader first, while the machine
+/// can't be reached: taken for news it would free the task's place.
+#[test]
+fn an_old_report_that_is_the_first_of_its_machine_frees_nothing() {
+    for pause in [0, 400, 1_200] {
+        let mut w = world(3, 3, 0.0);
+        w.troubles.late_reports = Some((1.0, CopyTo::NextLeader));
+        w.run(2_500);
+        w.troubles.late_reports = None;
+        assert_eq!(w.submit(0, &array("run-1", 3), runs(20_000)), 201);
+        assert!(w.until(8_000, |w| w.on_machines("run-1").len() == 3));
+        let until = w.now + 8_000;
+        w.workers
+            .values_mut()
+            .take(2)
+            .for_each(|m| m.cut_until = until);
+        w.run(10);
+        change_leader(&mut w, pause);
+        all_done(&mut w, &["run-1"], 90_000);
+    }
+}
+
+/// The reading for a question was sent before the job was cancelled elsewhere, and comes back after that was confirmed.
+#[test]
+fn a_reading_that_comes_back_late_does_not_hide_a_confirmed_cancellation() {
+    let mut seen = 0;
+    for seed in 0..12 {
+        let mut w = world(3, 2, 0.0);
+        w.seed(seed);
+        assert_eq!(w.submit(0, &array("run-1", 2), runs(60_000)), 201);
+        w.run(5_000);
+        let ask = |w: &mut World| w.send(1, "GET", "/submissions/run-1", vec![]);
+        w.troubles.slow_state.insert(1, 900);
+        let question = ask(&mut w);
+        // Proofs wait for others for some 40 ms.
+        w.run(100);
+        assert_eq!(w.abort(2, "run-1"), Some(Phase::Aborted));
+        w.run(20);
+        if w.answer(question).is_none() {
+            w.run(1_500);
+            let (status, body) = w.answer(question).expect("an answer");
+            let phase = wire::decode::<wire::users::JobStatus>(&body).map(|s| s.phase);
+            assert!(matches!((status, phase), (200, Ok(Phase::Aborted))));
+            seen += 1;
+        }
+        clean(&w);
+    }
+    assert!(seen > 2, "{seen} readings came back late");
+}
+
+/// The creation is recorded, a repeat is answered and the job cancelled at another node, and only then does the first
+/// node hear of its creation.
+#[test]
+fn a_late_creation_is_not_answered_as_if_nothing_had_happened_since() {
+    let mut seen = 0;
+    for seed in 0..12 {
+        let mut w = world(3, 2, 0.0);
+        w.seed(seed);
+        let job = array("run-1", 1);
+        w.describe(&job, runs(60_000));
+        w.troubles.slow_state.insert(1, 1_000);
+        let first = w.send(1, "POST", "/submissions", wire::encode(&job));
+        w.run(40);
+        assert_eq!(w.submit(2, &job, runs(60_000)), 200);
+        assert_eq!(w.abort(2, "run-1"), Some(Phase::Aborted));
+        w.run(20);
+        if w.answer(first).is_none() {
+            w.run(1_500);
+            let (status, body) = w.answer(first).expect("an answer");
+            let phase = wire::decode::<wire::users::JobStatus>(&body).map(|s| s.phase);
+            assert!(matches!((status, phase), (200 | 201, Ok(Phase::Aborted))));
+            seen += 1;
+        }
+        clean(&w);
+    }
+    assert!(seen > 2, "{seen} creations came back late");
+}
+
+/// A node that passes requests on to a peer ends, and its next process gets the answers that were meant for it.
+#[test]
+fn an_answer_for_an_earlier_process_answers_nobody() {
+    let mut w = world(3, 2, 0.0);
+    let alone = follower(&w);
+    let ids = ["run-1", "run-2", "run-3", "run-4"];
+    for id in ids {
+        assert_eq!(w.submit(alone, &array(id, 1), runs(60_000)), 201);
+    }
+    w.run(5_000);
+    w.refused.insert(alone);
+    for n in (0..3).filter(|n| *n != alone) {
+        w.troubles.slow_state.insert(n, 1_000);
+    }
+    w.run(3_000);
+    for _ in 0..6 {
+        // Some of these are on their way to the store when the process ends.
+        for id in ids {
+            w.send(alone, "GET", &format!("/submissions/{id}"), vec![]);
+        }
+        w.run(150);
+        w.crash(alone);
+        w.run(20);
+        w.start(alone);
+        // Until it knows a peer that reaches the store nothing is passed on.
+        w.run(620);
+        for id in ids {
+            let abort = format!("/submissions/{id}/abort");
+            w.send(alone, "POST", &abort, vec![]);
+        }
+        w.run(1_200);
+    }
+    w.heal();
+    for id in ids {
+        assert!(w.until(5_000, |w| w.abort(alone, id) == Some(Phase::Aborted)));
+    }
+    clean(&w);
+}
