--- a/crates/control/tests/troubles.rs
+++ b/crates/control/tests/troubles.rs
@@ -669,19 +669,34 @@
 #[test]
 fn an_old_report_that_is_the_first_of_its_machine_frees_nothing() {
     for pause in [0, 400, 1_200] {
-        let mut w = world(3, 3, 0.0);
+        let mut w = world(3, 4, 0.0);
         w.troubles.late_reports = Some((1.0, CopyTo::NextLeader));
         w.run(2_500);
         w.troubles.late_reports = None;
-        assert_eq!(w.submit(0, &array("run-1", 3), runs(20_000)), 201);
+        let whole = Submission {
+            gpus: 4.0,
+            ..array("run-1", 3)
+        };
+        assert_eq!(w.submit(0, &whole, runs(20_000)), 201);
         assert!(w.until(8_000, |w| w.on_machines("run-1").len() == 3));
+        // One machine is free, and reached.
         let until = w.now + 8_000;
+        let busy = |m: &&mut fakes::FakeWorker| !m.tasks.is_empty();
         w.workers
             .values_mut()
-            .take(2)
+            .filter(busy)
             .for_each(|m| m.cut_until = until);
+        // Where the records say that its tasks are.
+        let recorded = |w: &World| {
+            let last = parts(w).into_iter().filter(|p| p.job == "run-1");
+            last.max_by_key(|p| p.seq).map(|p| p.chunk.at)
+        };
+        let before = recorded(&w);
+        assert_eq!(before.as_ref().map_or(0, Vec::len), 3);
         w.run(10);
         change_leader(&mut w, pause);
+        w.run(4_500);
+        assert_eq!(recorded(&w), before, "while they are cut off");
         all_done(&mut w, &["run-1"], 90_000);
     }
 }
