--- a/crates/control/tests/troubles.rs
+++ b/crates/control/tests/troubles.rs
@@ -795,3 +795,29 @@
     }
     clean(&w);
 }
+
+/// The former leader is cut off and goes on renewing a machine's lease for a while; the new one has only a late copy of a
+/// report of that machine, and then silence.
+#[test]
+fn the_silence_of_a_machine_that_has_not_heard_the_new_leader_frees_nothing() {
+    let mut w = world(3, 2, 0.0);
+    let whole = Submission {
+        gpus: 4.0,
+        ..array("run-1", 1)
+    };
+    assert_eq!(w.submit(0, &whole, runs(40_000)), 201);
+    assert!(w.until(8_000, |w| w.on_machines("run-1").len() == 1));
+    w.troubles.late_reports = Some((1.0, CopyTo::NextLeader));
+    w.run(2_500);
+    let old = w.leader().expect("leader");
+    let busy = |m: &&mut fakes::FakeWorker| !m.tasks.is_empty();
+    w.workers
+        .values_mut()
+        .filter(busy)
+        .for_each(|m| m.only = Some(old));
+    w.silent_peers.insert(old);
+    w.troubles.cut_from_state.insert(old);
+    w.run(40_000);
+    w.heal();
+    all_done(&mut w, &["run-1"], 90_000);
+}
