--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -287,6 +287,7 @@
                 },
                 service: job.is_service(),
                 order: latest.unwrap_or(job.ready_at),
+                aims: latest.is_some(),
                 running: job.placed,
                 kept: job
                     .kept
--- a/crates/control/tests/cancellations.rs
+++ b/crates/control/tests/cancellations.rs
@@ -15,6 +15,21 @@
     assert!(w.until(10_000, |w| w.on_machines(id).len() as u64 == tasks));
 }
 
+/// A job was cancelled through another node while the leader, the second one given, can't read what is open, though all
+/// else is answered, and hears nothing from its peers.
+fn cancelled_unread() -> (World, usize) {
+    let mut w = world(3, 2, 0.0);
+    let old = w.leader().expect("leader");
+    let other = follower(&w);
+    long_job(&mut w, "run-1", 2);
+    // What is open is not read any more, and all else is answered.
+    (w.break_watches, w.break_lists) = (true, true);
+    w.run(3_500);
+    w.silent_peers.insert(old);
+    assert_eq!(w.abort(other, "run-1"), Some(Phase::Aborted));
+    (w, old)
+}
+
 /// Lets time pass step by step until another node than `old` has just been elected.
 fn elected(w: &mut World, old: usize) -> usize {
     for _ in 0..1_000 {
@@ -57,15 +72,7 @@
 /// not made up for by it.
 #[test]
 fn a_good_answer_to_something_else_does_not_vouch_for_a_lost_notice() {
-    let mut w = world(3, 2, 0.0);
-    let old = w.leader().expect("leader");
-    let other = follower(&w);
-    long_job(&mut w, "run-1", 2);
-    // What is open is not read any more, and all else is answered.
-    (w.break_watches, w.break_lists) = (true, true);
-    w.run(3_500);
-    w.silent_peers.insert(old);
-    assert_eq!(w.abort(other, "run-1"), Some(Phase::Aborted));
+    let (mut w, old) = cancelled_unread();
     w.silent_peers.clear();
     w.run(4_000);
     assert_eq!(w.leader(), Some(old), "its lease is renewed all the time");
@@ -78,14 +85,7 @@
 /// Without an outage too: what it can't read of the records it may not go on keeping alive.
 #[test]
 fn a_leader_that_can_not_read_what_is_open_stops_answering_in_time() {
-    let mut w = world(3, 2, 0.0);
-    let old = w.leader().expect("leader");
-    let other = follower(&w);
-    long_job(&mut w, "run-1", 2);
-    (w.break_watches, w.break_lists) = (true, true);
-    w.run(3_500);
-    w.silent_peers.insert(old);
-    assert_eq!(w.abort(other, "run-1"), Some(Phase::Aborted));
+    let (mut w, old) = cancelled_unread();
     w.run(CANCEL_MS);
     assert!(w.on_machines("run-1").is_empty());
     w.silent_peers.clear();
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -317,6 +317,7 @@
             aged: false,
             resting: false,
             claims: true,
+            aims: true,
         };
         let offer = |zone| Offer {
             kind: 0,
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -1,9 +1,9 @@
 //! One round of decisions: who gets free room, and who has to make room.
 //!
 //! Order of jobs: work that fits its team's guarantee, then priority, then pilots, queued jobs (by weighted
-//! sharing between queues), and held tasks of arrays still being sampled. A round can be cut short by its time
-//! budget; what it decided so far stands, and the next round works from a fresh view, starting with the job
-//! after the one reached.
+//! sharing between queues), and held tasks of arrays still being sampled, those without any aim last. A round can be cut
+//! short by its time budget; what it decided so far stands, and the next round works from a fresh view, starting with the
+//! job after the one reached.
 
 mod room;
 
@@ -148,6 +148,8 @@
     pub queue: usize,
     /// Order within a queue, smallest first.
     pub order: u64,
+    /// Whether anybody asks when it is over: it has a deadline, or its class an aim.
+    pub aims: bool,
     /// Tasks of it on machines.
     pub running: u32,
     /// Machines its tasks should keep away from.
@@ -357,7 +359,9 @@
         let class = match (pilot || j.service, j.sampling) {
             (true, _) => 0,
             (_, false) => 1,
-            (false, true) => 2,
+            (false, true) if j.aims => 2,
+            // By arrival it would go before all that has an aim, for as long as its pilots run.
+            (false, true) => 3,
         };
         let share = if class == 1 && !j.aged {
             self.queue_use.get(j.queue).copied().unwrap_or(0.0) / weight_of(self.policy, j.queue)
--- a/crates/sched/src/round/tests.rs
+++ b/crates/sched/src/round/tests.rs
@@ -56,6 +56,7 @@
         aged: false,
         resting: false,
         claims: true,
+        aims: true,
     }
 }
 
@@ -471,3 +472,20 @@
     assert_eq!(counts(view(true)), [0, 0, 3]);
     assert_eq!(counts(view(false)), [0, 3, 3], "for a while others go on");
 }
+
+/// Held tasks of work that nobody waits for went by arrival, before those of every sweep with a deadline.
+#[test]
+fn held_tasks_of_work_without_an_aim_get_idle_room_after_those_with_one() {
+    let mut idle_time = job(1, false, 8, 1.0);
+    (idle_time.sampling, idle_time.aims) = (true, false);
+    let mut sweep = job(50, false, 3, 1.0);
+    sweep.sampling = true;
+    let view = View {
+        machines: vec![machine(0, 4.0)],
+        teams: vec![TeamView::default()],
+        jobs: vec![idle_time, sweep],
+        running: vec![],
+    };
+    let d = decide(view);
+    assert_eq!([0, 1].map(|j| placed(&d, j).len()), [1, 3]);
+}
