--- a/crates/control/tests/cancellations.rs
+++ b/crates/control/tests/cancellations.rs
@@ -130,9 +130,10 @@
         let new = elected(&mut w, old);
         let other = (0..3).find(|n| *n != old && *n != new).expect("third");
         w.run(10 * steps);
-        // No watch will tell of it.
+        // No watch will tell of it, and the reading comes to its end.
         w.break_watches = true;
         assert_eq!(w.abort(other, "run-1"), Some(Phase::Aborted));
+        w.run(150);
         w.state_down = true;
         w.run(CANCEL_MS);
         assert!(w.on_machines("run-1").is_empty(), "after {steps} steps");
--- a/crates/control/tests/operations.rs
+++ b/crates/control/tests/operations.rs
@@ -35,3 +35,17 @@
     assert!(done(&mut w, "run-900", 400_000), "nor does it starve");
     clean(&w);
 }
+
+/// Nothing asked for a round when a job's pause was over: in a quiet world it waited until something else happened.
+#[test]
+fn a_job_goes_on_when_its_pause_is_over_though_nothing_else_happens() {
+    let mut w = world(3, 2, 0.0);
+    let job = array("run-1", 1);
+    // Its description has not been uploaded yet: the worker refuses the start.
+    let body = wire::encode(&job);
+    assert_eq!(w.ask(0, "POST", "/submissions", body).0, 201);
+    w.run(2_000);
+    w.describe(&job, runs(1_000));
+    assert!(done(&mut w, "run-1", 8_000));
+    clean(&w);
+}
