--- a/crates/control/tests/troubles.rs
+++ b/crates/control/tests/troubles.rs
@@ -821,3 +821,42 @@
     w.heal();
     all_done(&mut w, &["run-1"], 90_000);
 }
+
+/// A task where no record has it, on a machine that hears nothing: it counts against its team's limit while it may be
+/// there, and ends with its worker's lease, though nobody can tell it to.
+#[test]
+fn a_stray_on_a_deaf_machine_counts_until_its_lease_ends_it() {
+    let mut w = limited(3, 4);
+    let pairs = |id: &str, tasks: u64| Submission {
+        gpus: 2.0,
+        ..of_team(id, "t", tasks)
+    };
+    assert_eq!(w.submit(0, &pairs("run-1", 2), runs(60_000)), 201);
+    assert!(w.until(8_000, |w| w.on_machines("run-1").len() == 2));
+    assert_eq!(w.submit(0, &pairs("run-2", 2), runs(2_000)), 201);
+    w.run(3_000);
+    // One of its tasks is on another machine than its record says, under another attempt.
+    let (from, task, attempt) = w.on_machines("run-1").remove(1);
+    let moved = w
+        .workers
+        .get_mut(&from)
+        .and_then(|m| m.tasks.remove(&(task.clone(), attempt)));
+    let free = |m: &&mut fakes::FakeWorker| m.tasks.is_empty() && m.name != from;
+    let deaf = w.workers.values_mut().find(free).expect("a free machine");
+    deaf.tasks
+        .insert((task, attempt + 8), moved.expect("it was there"));
+    deaf.one_way = true;
+    // It tells of the task before the other machine tells that it is gone.
+    (deaf.in_flight, deaf.report_at) = (None, w.now);
+    let name = deaf.name.clone();
+    let now = w.now;
+    let left = w.workers.get_mut(&from).expect("worker");
+    (left.in_flight, left.report_at) = (None, now + 1_500);
+    w.run(10_000);
+    assert!(w.on_machines("run-2").is_empty(), "the limit is reached");
+    w.run(6_000);
+    let ended = w.workers.get(&name).is_none_or(|m| m.tasks.is_empty());
+    assert!(ended, "its lease is over, or it was given back");
+    w.heal();
+    all_done(&mut w, &["run-2", "run-1"], 120_000);
+}
