A report of a session whose lease has run out changes nothing, however late it comes

Ruled out: that the tasks still ran (the next reports began a new session without tasks), a second start.

The lapse is remembered with the session that it ended. Safe for the reason that frees the tasks: the session is over. Seen failing without the guard: the answer to such a report carried four orders to stop what was not there.

--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -510,6 +510,8 @@
     pub returning: bool,
     pub session: u64,
     pub seq: u64,
+    /// The last session whose lease has certainly run out: reports of it, or of an earlier one, arrive late.
+    pub ended_session: u64,
     /// The worker is known to have seen our term.
     pub token_seen: bool,
     /// A report with our term has been worked in.
@@ -562,6 +564,7 @@
             returning: false,
             session: 0,
             seq: 0,
+            ended_session: 0,
             token_seen: false,
             synced: false,
             last_report: None,
@@ -600,6 +603,18 @@
         }
     }
 
+    /// Whether the worker's lease has certainly run out, and with it every task of its session. The worker had seen
+    /// our term, so nobody else's answers have counted since, and ours ended long enough ago.
+    pub fn lease_lapsed(&self, now: u64, lapse_ms: u64) -> bool {
+        let answered_long_ago = |at: u64| now > at + lapse_ms;
+        self.token_seen && self.last_answer.is_some_and(answered_long_ago)
+    }
+
+    /// Whether a report with these numbers was written before something that is known already.
+    pub fn is_outdated(&self, session: u64, seq: u64) -> bool {
+        session <= self.ended_session || (session, seq) <= (self.session, self.seq)
+    }
+
     /// Answers seem not to reach it: no new work until a session outlives a lease.
     pub fn doubt(&mut self, now: u64, why: &str) {
         if self.doubted.is_none() {
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -59,7 +59,9 @@
             .machines
             .entry(report.machine.clone())
             .or_insert_with(|| Machine::new(now.mono));
-        if (report.session, report.seq) <= (m.session, m.seq) {
+        // A report that a cut held back until its session had ended is news by its number alone: taken for news, it
+        // made tasks that are long gone strays, and a machine that is still cut off one that is reached.
+        if m.is_outdated(report.session, report.seq) {
             return Heard::Answer(ReportAnswer { term, orders });
         }
         // Whatever is answered counts for when the worker's lease may have run out.
--- a/crates/control/src/leader/watch.rs
+++ b/crates/control/src/leader/watch.rs
@@ -12,13 +12,14 @@
         let now = mail.now;
         let lapse_ms = self.lease_lapse_ms();
         let mut free: Vec<(String, &'static str)> = Vec::new();
-        for (name, m) in &self.machines {
+        for (name, m) in &mut self.machines {
+            let lapsed = m.lease_lapsed(now.mono, lapse_ms);
+            if lapsed {
+                m.ended_session = m.session;
+            }
             if m.places.is_empty() && m.strays.is_empty() {
                 continue;
             }
-            // Its worker had seen our term, so nobody else's answers counted since; ours ended long enough
-            // ago for the lease to have run out, and with it every task is gone.
-            let lapsed = m.token_seen && m.last_answer.is_some_and(|at| now.mono > at + lapse_ms);
             let why = match (m.failed, lapsed) {
                 (true, _) => Some("its machine failed"),
                 (_, true) => Some("its worker's lease ran out"),
--- a/crates/control/tests/operations.rs
+++ b/crates/control/tests/operations.rs
@@ -3,8 +3,9 @@
 mod common;
 
 use common::*;
-use fakes::array;
+use fakes::{array, KIND};
 use wire::users::{Phase, Submission};
+use wire::workers::ReportAnswer;
 
 /// Work without any aim was taken for urgent at all times, went before everything with a deadline, and kept the whole
 /// fleet for minutes.
@@ -49,3 +50,37 @@
     assert!(done(&mut w, "run-1", 8_000));
     clean(&w);
 }
+
+/// A cut that outlasts a lease delivers, at its end, what was sent before the lease ran out. By its number such a report
+/// is newer than all others: its tasks, long started elsewhere, were taken for strays and stopped, and the machine for
+/// one that is reached.
+#[test]
+fn a_report_held_back_until_its_session_has_ended_changes_nothing() {
+    let mut w = world(3, 2, 0.0);
+    assert_eq!(w.submit(0, &array("run-1", 8), runs(120_000)), 201);
+    w.run(6_000);
+    let cut_machine = "vm-000000";
+    let now = w.now;
+    let worker = w.workers.get_mut(cut_machine).expect("worker");
+    worker.cut_until = now + 60_000;
+    let held_back = worker.report(KIND, now);
+    assert!(!held_back.tasks.is_empty(), "it runs something");
+    let places = |w: &fakes::World| {
+        let all = parts(w).into_iter().flat_map(|part| part.chunk.at);
+        all.filter(|(_, _, machine)| machine == cut_machine).count()
+    };
+    assert!(w.until(30_000, |w| places(w) == 0), "freed by the lapse");
+
+    let leader = w.leader().expect("leader");
+    let (status, body) = w.ask(leader, "POST", "/v1/report", wire::encode(&held_back));
+    assert_eq!(status, 200);
+    let answer: ReportAnswer = wire::decode(&body).expect("answer");
+    assert_eq!(answer.orders, vec![], "nothing to stop");
+    // The other machine is full of what was started again.
+    assert_eq!(w.submit(0, &array("run-2", 1), runs(1_000)), 201);
+    w.run(2_000);
+    assert_eq!(places(&w), 0, "no work for a machine that is cut off");
+    w.heal();
+    assert!(done(&mut w, "run-2", 60_000));
+    clean(&w);
+}
