control: requests forwarded between controllers are a type of their own

`ForwardedRequests` owns both sides of a forwarded request: calls that peers are handling for us, with their deadlines, and requests that we handle for peers. `Node` hands it requests and answers and no longer knows how they are numbered; a reader finds the deadline, the check that an answer comes from the peer that was asked, and the way back in one file.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod cloud;
 mod election;
+mod forwarding;
 mod gateway;
 mod generations;
 mod leader;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::cloud::CloudClient;
 use crate::election::Election;
+use crate::forwarding::{ForwardedRequests, HttpRequest, REPORT_PATH};
 use crate::gateway::Gateway;
 use crate::leader::{direct_call, Heard, Held, Leader};
 use crate::mail::*;
@@ -10,19 +11,11 @@
 use crate::state::{Priority, StateClient, StateOp, StateReply};
 use crate::upgrade::Upgrade;
 use constants::*;
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use wire::peers::{JobNews, PeerMessage};
 use wire::records::{Final, TYPES};
 use wire::workers::{Elsewhere, Report};
 
-/// A request that a peer is handling for us.
-struct Forwarded {
-    request: RequestId,
-    /// The peer that is to answer.
-    by: String,
-    until: u64,
-}
-
 /// One controller.
 pub struct Node {
     settings: Settings,
@@ -65,18 +58,10 @@
     next_counts: u64,
     /// When held answers are looked at again even though nothing was decided.
     next_release: u64,
-    forwards: HashMap<u64, Forwarded>,
-    /// Requests that we handle for peers: (peer, its number) by our number.
-    serving: HashMap<RequestId, (String, u64)>,
-    next_forward: u64,
-    next_serving: RequestId,
+    forwarded: ForwardedRequests,
     last_now: Now,
 }
 
-/// Numbers of requests forwarded by peers, apart from those of our own sockets.
-const PEER_REQUESTS: u64 = 1 << 62;
-const REPORT: &str = "/v1/report";
-
 /// Where the numbers of a process begin that its peers give back to it.
 fn process_base(boot: u64) -> u64 {
     (boot << 32) >> 1
@@ -127,10 +112,7 @@
             over: Vec::new(),
             next_counts: 0,
             next_release: 0,
-            forwards: HashMap::new(),
-            serving: HashMap::new(),
-            next_forward: process_base(boot),
-            next_serving: PEER_REQUESTS,
+            forwarded: ForwardedRequests::new(process_base(boot)),
             last_now: now,
             operator,
             stopwatch,
@@ -157,9 +139,12 @@
         for wake in [self.state.next_wake(), self.cloud.next_wake()] {
             at = at.min(wake.unwrap_or(u64::MAX));
         }
-        if !self.gateway.is_idle() || !self.forwards.is_empty() || !self.limbo.is_empty() {
+        if !self.gateway.is_idle() || !self.limbo.is_empty() {
             at = at.min(self.last_now.mono + 200);
         }
+        if let Some(wake) = self.forwarded.next_wake(self.last_now.mono) {
+            at = at.min(wake);
+        }
         let ready = self.leader.as_ref().is_some_and(Leader::is_ready);
         if ready && !self.limbo.is_empty() {
             at = self.last_now.mono;
@@ -182,7 +167,15 @@
                 method,
                 target,
                 body,
-            } => self.on_request(id, &method, &target, &body, &mut mail),
+            } => {
+                let request = HttpRequest {
+                    id,
+                    method: &method,
+                    target: &target,
+                    body: &body,
+                };
+                self.on_request(request, &mut mail);
+            }
             Input::Reply { call, result } => self.on_reply(call, &result, &mut mail),
             Input::Peer { from, message } => self.on_peer(&from, message, &mut mail),
             Input::PeerRefuses { from } => self.election.peer_refuses(&from, &mut mail),
@@ -211,17 +204,7 @@
             self.next_beat = now.mono + PEER_BEAT_MS;
             self.beat(&mut mail);
         }
-        let late: Vec<u64> = self
-            .forwards
-            .iter()
-            .filter(|(_, f)| now.mono > f.until)
-            .map(|(n, _)| *n)
-            .collect();
-        for number in late {
-            if let Some(f) = self.forwards.remove(&number) {
-                mail.refuse(f.request, 503, "no answer from the peer");
-            }
-        }
+        self.forwarded.tick(&mut mail);
         self.deliver(mail);
     }
 
@@ -329,26 +312,22 @@
         }
     }
 
-    fn on_request(
-        &mut self,
-        id: RequestId,
-        method: &str,
-        target: &str,
-        body: &[u8],
-        mail: &mut Mail,
-    ) {
-        let path = target.split('?').next().unwrap_or_default();
+    fn on_request(&mut self, request: HttpRequest, mail: &mut Mail) {
+        let HttpRequest {
+            id, method, body, ..
+        } = request;
+        let path = request.target.split('?').next().unwrap_or_default();
         match (method, path) {
             ("GET", "/ready") => mail.respond(id, 200, Vec::new()),
-            ("POST", "/v1/report") => self.on_report(id, body, mail),
-            (_, "/ready" | "/v1/report") => mail.refuse(id, 405, "method not allowed"),
+            ("POST", REPORT_PATH) => self.on_report(id, body, mail),
+            (_, "/ready" | REPORT_PATH) => mail.refuse(id, 405, "method not allowed"),
             _ if path == "/submissions" || path.starts_with("/submissions/") => {
                 let now = mail.now.mono;
                 let up = self.state.is_up(now);
-                if !up && id < PEER_REQUESTS {
+                if !up && !ForwardedRequests::is_from_peer(id) {
                     if let Some(peer) = self.peers.with_state(now) {
-                        let to = peer.to_string();
-                        return self.forward(id, method, target, body, to, mail);
+                        let peer = peer.to_string();
+                        return self.forwarded.forward(request, peer, mail);
                     }
                 }
                 self.gateway.on_request(id, method, path, body, up, mail);
@@ -357,42 +336,9 @@
         }
     }
 
-    fn forward(
-        &mut self,
-        request: RequestId,
-        method: &str,
-        target: &str,
-        body: &[u8],
-        to: String,
-        mail: &mut Mail,
-    ) {
-        if self.forwards.len() >= USER_INFLIGHT {
-            return mail.refuse(request, 503, "too many requests in hand");
-        }
-        self.next_forward += 1;
-        let patience = if target == REPORT {
-            REPORT_FORWARD_MS
-        } else {
-            USER_DEADLINE_MS
-        };
-        let until = mail.now.mono + patience;
-        let by = to.clone();
-        self.forwards
-            .insert(self.next_forward, Forwarded { request, by, until });
-        mail.out.push(Output::Peer {
-            to: Some(to),
-            message: PeerMessage::Forward {
-                call: self.next_forward,
-                method: method.to_string(),
-                target: target.to_string(),
-                body: body.to_vec(),
-            },
-        });
-    }
-
     fn on_report(&mut self, id: RequestId, body: &[u8], mail: &mut Mail) {
         let now = mail.now;
-        if id < PEER_REQUESTS {
+        if !ForwardedRequests::is_from_peer(id) {
             self.last_worker = Some(now.mono);
         }
         let report: Report = match wire::decode(body) {
@@ -437,8 +383,14 @@
         let probe = deaf.is_some() && now.mono >= self.next_probe;
         if probe {
             self.next_probe = now.mono + PROBE_MS;
-        } else if let Some(leader) = deaf.filter(|_| id < PEER_REQUESTS) {
-            return self.forward(id, "POST", REPORT, body, leader, mail);
+        } else if let Some(leader) = deaf.filter(|_| !ForwardedRequests::is_from_peer(id)) {
+            let report = HttpRequest {
+                id,
+                method: "POST",
+                target: REPORT_PATH,
+                body,
+            };
+            return self.forwarded.forward(report, leader, mail);
         }
         self.send_elsewhere(id, mail);
     }
@@ -575,24 +527,16 @@
                 target,
                 body,
             } => {
-                self.next_serving += 1;
-                let id = self.next_serving;
-                self.serving.insert(id, (from.to_string(), call));
-                self.on_request(id, &method, &target, &body, mail);
+                let request = HttpRequest {
+                    id: self.forwarded.accept(from, call),
+                    method: &method,
+                    target: &target,
+                    body: &body,
+                };
+                self.on_request(request, mail);
             }
             PeerMessage::Forwarded { call, status, body } => {
-                // Answers to an earlier process of ours, or of another peer, are about something else.
-                if self.forwards.get(&call).is_none_or(|f| f.by != from) {
-                    return;
-                }
-                if let Some(f) = self.forwards.remove(&call) {
-                    mail.out.push(Output::Respond {
-                        id: f.request,
-                        status,
-                        retry_after_s: matches!(status, 429 | 503).then_some(RETRY_AFTER_S),
-                        body,
-                    });
-                }
+                self.forwarded.on_answer(from, call, status, body, mail);
             }
         }
     }
@@ -657,7 +601,7 @@
                 self.state_replied(tag, reply, &mut mail);
             }
             for output in std::mem::take(&mut mail.out) {
-                self.emit(output);
+                self.out.extend(self.forwarded.route(output));
             }
             let quiet = mail.state.is_empty()
                 && mail.cloud.is_empty()
@@ -676,24 +620,6 @@
         }
     }
 
-    fn emit(&mut self, output: Output) {
-        let output = match output {
-            Output::Respond {
-                id, status, body, ..
-            } if id >= PEER_REQUESTS => {
-                let Some((to, call)) = self.serving.remove(&id) else {
-                    return;
-                };
-                Output::Peer {
-                    to: Some(to),
-                    message: PeerMessage::Forwarded { call, status, body },
-                }
-            }
-            other => other,
-        };
-        self.out.push_back(output);
-    }
-
     fn on_news(&mut self, news: News, mail: &mut Mail) {
         self.gateway.on_news(&news);
         match news {
