control: pending reports and held answers are types of their own

`PendingReports` keeps workers' reports that came while no leader was known or the leader was loading; `HeldAnswers` keeps those the leader has taken in and will answer once it has decided. `LeaderStatus` names the four cases that `on_report` and the pending reports tell apart. `Node::next_wake` is now one list of all wake-up times.

Only form has changed.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod mail;
 mod node;
 mod peers;
+mod pending_reports;
 pub mod settings;
 mod state;
 mod upgrade;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -4,9 +4,10 @@
 use crate::election::Election;
 use crate::forwarding::{ForwardedRequests, HttpRequest, REPORT_PATH};
 use crate::gateway::Gateway;
-use crate::leader::{direct_call, Heard, Held, Leader};
+use crate::leader::{direct_call, Heard, Leader};
 use crate::mail::*;
 use crate::peers::{PeerState, Peers};
+use crate::pending_reports::{HeldAnswers, LeaderStatus, PendingReports};
 use crate::settings::{Operator, Settings};
 use crate::state::{Priority, StateClient, StateOp, StateReply};
 use crate::upgrade::Upgrade;
@@ -27,13 +28,8 @@
     gateway: Gateway,
     upgrade: Upgrade,
     leader: Option<Leader>,
-    /// Reports whose answers wait.
-    held: Vec<(RequestId, Held)>,
-    /// Reports that came while no leader was known.
-    limbo: Vec<(RequestId, Vec<u8>, u64)>,
-    /// How many of them at a time: as many as workers may be connected.
-    limbo_most: usize,
-    next_limbo: u64,
+    pending_reports: PendingReports,
+    held_answers: HeldAnswers,
     peers: Peers,
     /// Number of this process, and cancellations it has confirmed.
     boot: u64,
@@ -56,12 +52,13 @@
     /// Jobs filed away since the last beat, to be told to peers.
     over: Vec<(String, bool)>,
     next_counts: u64,
-    /// When held answers are looked at again even though nothing was decided.
-    next_release: u64,
     forwarded: ForwardedRequests,
     last_now: Now,
 }
 
+/// Milliseconds until a node whose gateway is busy wakes up at the latest.
+const GATEWAY_WAKE_MS: u64 = 200;
+
 /// Where the numbers of a process begin that its peers give back to it.
 fn process_base(boot: u64) -> u64 {
     (boot << 32) >> 1
@@ -87,10 +84,8 @@
                 settings.siblings.iter().map(|s| s.label.clone()),
             ),
             leader: None,
-            held: Vec::new(),
-            limbo: Vec::new(),
-            limbo_most: d.quota.max_connections,
-            next_limbo: 0,
+            pending_reports: PendingReports::new(d.quota.max_connections),
+            held_answers: HeldAnswers::default(),
             peers: Peers::new(
                 settings.siblings.iter().map(|s| s.label.clone()),
                 process_base(boot),
@@ -111,7 +106,6 @@
             alone_since: None,
             over: Vec::new(),
             next_counts: 0,
-            next_release: 0,
             forwarded: ForwardedRequests::new(process_base(boot)),
             last_now: now,
             operator,
@@ -132,29 +126,23 @@
 
     /// When [`Node::tick`] wants to be called, on the steady clock.
     pub fn next_wake(&self) -> u64 {
-        let mut at = self.election.next_wake().min(self.next_beat);
-        if let Some(leader) = &self.leader {
-            at = at.min(leader.next_wake(self.active(self.last_now.mono)));
-        }
-        for wake in [self.state.next_wake(), self.cloud.next_wake()] {
-            at = at.min(wake.unwrap_or(u64::MAX));
-        }
-        if !self.gateway.is_idle() || !self.limbo.is_empty() {
-            at = at.min(self.last_now.mono + 200);
-        }
-        if let Some(wake) = self.forwarded.next_wake(self.last_now.mono) {
-            at = at.min(wake);
-        }
-        let ready = self.leader.as_ref().is_some_and(Leader::is_ready);
-        if ready && !self.limbo.is_empty() {
-            at = self.last_now.mono;
-        }
-        if !self.held.is_empty() {
-            at = at.min(self.next_release);
-        }
-        at = at.min(self.gateway.next_wake());
-        at = at.min(self.upgrade.next_wake());
-        at.max(self.last_now.mono + 1)
+        let now = self.last_now.mono;
+        let leader_is_ready = self.leader.as_ref().is_some_and(Leader::is_ready);
+        let wakes = [
+            Some(self.election.next_wake()),
+            Some(self.next_beat),
+            self.leader.as_ref().map(|l| l.next_wake(self.active(now))),
+            self.state.next_wake(),
+            self.cloud.next_wake(),
+            (!self.gateway.is_idle()).then_some(now + GATEWAY_WAKE_MS),
+            Some(self.gateway.next_wake()),
+            Some(self.upgrade.next_wake()),
+            self.forwarded.next_wake(now),
+            self.pending_reports.next_wake(leader_is_ready, now),
+            self.held_answers.next_wake(),
+        ];
+        let earliest = wakes.into_iter().flatten().min();
+        earliest.map_or(now + 1, |at| at.max(now + 1))
     }
 
     /// Something happened.
@@ -337,52 +325,66 @@
     }
 
     fn on_report(&mut self, id: RequestId, body: &[u8], mail: &mut Mail) {
-        let now = mail.now;
+        let now = mail.now.mono;
         if !ForwardedRequests::is_from_peer(id) {
-            self.last_worker = Some(now.mono);
+            self.last_worker = Some(now);
         }
         let report: Report = match wire::decode(body) {
             Ok(report) => report,
             Err(why) => return mail.refuse(id, 400, &why.to_string()),
         };
-        let loading = self.leader.as_ref().is_some_and(|l| !l.is_ready());
-        if loading && self.limbo.len() < self.limbo_most {
-            // An answer would renew the leases of tasks that may be cancelled, for all it knows.
-            self.limbo.push((id, body.to_vec(), now.mono));
-            return;
+        let status = self.leader_status(now);
+        // While the leader is loading, an answer would renew the leases of tasks that may be cancelled, for all it knows.
+        let waits = matches!(status, LeaderStatus::Unknown | LeaderStatus::Loading);
+        if waits && self.pending_reports.has_room() {
+            return self.pending_reports.push(id, body, now);
         }
-        if self.leader.is_some() {
-            if !self.may_answer(now.mono) {
-                return mail.refuse(id, 503, "not entitled to answer workers");
-            }
-            let active = self.active(now.mono);
-            let Some(leader) = &mut self.leader else {
-                return;
-            };
-            match leader.on_report(report, active, now) {
-                Heard::Answer(answer) => mail.respond(id, 200, wire::encode(&answer)),
-                Heard::Hold(held) => self.held.push((id, held)),
-                Heard::Newer(term) => {
-                    self.election.heard_term(term, mail);
-                    mail.refuse(id, 503, "a newer leader exists");
-                }
-            }
-            return;
+        match status {
+            LeaderStatus::Ready | LeaderStatus::Loading => self.report_to_leader(id, report, mail),
+            LeaderStatus::Elsewhere | LeaderStatus::Unknown => self.pass_report_on(id, body, mail),
+        }
+    }
+
+    fn leader_status(&self, now: u64) -> LeaderStatus {
+        match &self.leader {
+            Some(leader) if leader.is_ready() => LeaderStatus::Ready,
+            Some(_) => LeaderStatus::Loading,
+            None if self.election.leader_label(now).is_some() => LeaderStatus::Elsewhere,
+            None => LeaderStatus::Unknown,
+        }
+    }
+
+    fn report_to_leader(&mut self, id: RequestId, report: Report, mail: &mut Mail) {
+        let now = mail.now;
+        if !self.may_answer(now.mono) {
+            return mail.refuse(id, 503, "not entitled to answer workers");
         }
-        if self.election.leader_label(now.mono).is_none() && self.limbo.len() < self.limbo_most {
-            self.limbo.push((id, body.to_vec(), now.mono));
+        let active = self.active(now.mono);
+        let Some(leader) = &mut self.leader else {
             return;
+        };
+        match leader.on_report(report, active, now) {
+            Heard::Answer(answer) => mail.respond(id, 200, wire::encode(&answer)),
+            Heard::Hold(held) => self.held_answers.push(id, held),
+            Heard::Newer(term) => {
+                self.election.heard_term(term, mail);
+                mail.refuse(id, 503, "a newer leader exists");
+            }
         }
-        // A leader that lives but that no worker reaches gets the reports through us: sent to it, the worker
-        // would lose another 4 s, and its lease before long.
+    }
+
+    /// Sends a worker to the leader, or passes its report on to a leader that lives but that no worker reaches: sent to
+    /// it, the worker would lose another 4 s, and its lease before long.
+    fn pass_report_on(&mut self, id: RequestId, body: &[u8], mail: &mut Mail) {
+        let now = mail.now.mono;
         let deaf_ms = (self.settings.deployment.workers.report_s * 1500.0) as u64 + PEER_BEAT_MS;
-        let leader = self.election.leader_label(now.mono).map(str::to_string);
-        let settled = now.mono > self.election.known_since() + 2 * REPORT_DROP_MS;
-        let deaf = leader.filter(|l| settled && self.peers.is_deaf(l, deaf_ms, now.mono));
+        let leader = self.election.leader_label(now).map(str::to_string);
+        let settled = now > self.election.known_since() + 2 * REPORT_DROP_MS;
+        let deaf = leader.filter(|l| settled && self.peers.is_deaf(l, deaf_ms, now));
         // Now and then one worker is sent there all the same, to find out whether it is reached again.
-        let probe = deaf.is_some() && now.mono >= self.next_probe;
+        let probe = deaf.is_some() && now >= self.next_probe;
         if probe {
-            self.next_probe = now.mono + PROBE_MS;
+            self.next_probe = now + PROBE_MS;
         } else if let Some(leader) = deaf.filter(|_| !ForwardedRequests::is_from_peer(id)) {
             let report = HttpRequest {
                 id,
@@ -405,35 +407,20 @@
     }
 
     /// Goes on with reports that came while no leader was known, or before this one had read its records.
-    fn leave_limbo(&mut self, mail: &mut Mail) {
-        if self.limbo.is_empty() {
+    fn handle_pending_reports(&mut self, mail: &mut Mail) {
+        if self.pending_reports.is_empty() {
             return;
         }
         let now = mail.now.mono;
-        let loading = self.leader.as_ref().map(|l| !l.is_ready());
-        if loading == Some(false) {
-            let most = LIMBO_A_TURN.min(self.limbo.len());
-            for (id, body, _) in self.limbo.drain(..most).collect::<Vec<_>>() {
-                self.on_report(id, &body, mail);
+        let status = self.leader_status(now);
+        if status == LeaderStatus::Ready {
+            for report in self.pending_reports.take_batch() {
+                self.on_report(report.id, &report.body, mail);
             }
             return;
         }
-        let elsewhere = loading.is_none() && self.election.leader_label(now).is_some();
-        if !elsewhere && now < self.next_limbo {
-            return;
-        }
-        self.next_limbo = now + LIMBO_LOOK_MS;
-        let patience = if loading.is_some() {
-            LOADING_MS
-        } else {
-            LIMBO_MS
-        };
-        for (id, body, since) in std::mem::take(&mut self.limbo) {
-            if elsewhere || now > since + patience {
-                self.send_elsewhere(id, mail);
-            } else {
-                self.limbo.push((id, body, since));
-            }
+        for id in self.pending_reports.take_redirected(status, now) {
+            self.send_elsewhere(id, mail);
         }
     }
 
@@ -542,44 +529,22 @@
     }
 
     /// Answers held reports for which there is nothing left to wait for.
-    fn release(&mut self, mail: &mut Mail) {
-        if self.held.is_empty() {
-            return;
-        }
-        let now = mail.now;
-        // With hundreds of workers held, looking at all of them at every message would cost more than the
-        // messages themselves.
-        let settled = self
-            .leader
-            .as_mut()
-            .is_none_or(|l| std::mem::take(&mut l.settled));
-        if !settled && now.mono < self.next_release {
+    fn release_held_answers(&mut self, mail: &mut Mail) {
+        let now = mail.now.mono;
+        if !self.held_answers.is_due(self.leader.as_mut(), now) {
             return;
         }
-        self.next_release = now.mono + RELEASE_MS;
-        let active = self.active(now.mono);
-        let may_answer = self.may_answer(now.mono);
-        let leader = &mut self.leader;
-        self.held.retain(|(id, held)| {
-            let Some(leader) = leader.as_mut().filter(|_| may_answer) else {
-                mail.refuse(*id, 503, "not entitled to answer workers");
-                return false;
-            };
-            match leader.held_answer(held, active, now) {
-                Some(answer) => {
-                    mail.respond(*id, 200, wire::encode(&answer));
-                    false
-                }
-                None => true,
-            }
-        });
+        let active = self.active(now);
+        let may_answer = self.may_answer(now);
+        let leader = self.leader.as_mut().filter(|_| may_answer);
+        self.held_answers.release(leader, active, mail);
     }
 
     /// Passes on what actors said until nobody has anything left to say.
     fn deliver(&mut self, mut mail: Mail) {
         let now = mail.now;
         let mut expired = Vec::new();
-        let mut limbo_due = true;
+        let mut pending_due = true;
         loop {
             for (priority, op, tag) in std::mem::take(&mut mail.state) {
                 self.state.push(now, priority, op, tag);
@@ -609,10 +574,10 @@
                 && mail.news.is_empty()
                 && mail.out.is_empty();
             if quiet {
-                if std::mem::take(&mut limbo_due) {
-                    self.leave_limbo(&mut mail);
+                if std::mem::take(&mut pending_due) {
+                    self.handle_pending_reports(&mut mail);
                 }
-                self.release(&mut mail);
+                self.release_held_answers(&mut mail);
                 if mail.out.is_empty() {
                     return;
                 }
