control: when a leader resigns is decided in leadership_watch

`LeadershipWatch` holds since when a leader has been without the state service or without workers, and gives a typed reason to resign; `LeaderProbe` decides when one worker is sent to a leader that workers do not reach. Both were loose fields of `Node`.

Only form has changed.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod gateway;
 mod generations;
 mod leader;
+mod leadership_watch;
 pub mod mail;
 mod node;
 mod peers;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -5,6 +5,7 @@
 use crate::forwarding::{ForwardedRequests, HttpRequest, REPORT_PATH};
 use crate::gateway::Gateway;
 use crate::leader::{direct_call, Heard, Leader};
+use crate::leadership_watch::{LeaderProbe, LeadershipWatch};
 use crate::mail::*;
 use crate::peers::{PeerState, Peers};
 use crate::pending_reports::{HeldAnswers, LeaderStatus, PendingReports};
@@ -30,6 +31,8 @@
     leader: Option<Leader>,
     pending_reports: PendingReports,
     held_answers: HeldAnswers,
+    leadership_watch: LeadershipWatch,
+    leader_probe: LeaderProbe,
     peers: Peers,
     /// Number of this process, and cancellations it has confirmed.
     boot: u64,
@@ -44,11 +47,6 @@
     next_types: u64,
     types_busy: bool,
     last_worker: Option<u64>,
-    silent_since: Option<u64>,
-    /// When a worker is next sent to a leader that workers do not reach.
-    next_probe: u64,
-    /// Since when peers reach the state service and this leader does not.
-    alone_since: Option<u64>,
     /// Jobs filed away since the last beat, to be told to peers.
     over: Vec<(String, bool)>,
     next_counts: u64,
@@ -86,6 +84,8 @@
             leader: None,
             pending_reports: PendingReports::new(d.quota.max_connections),
             held_answers: HeldAnswers::default(),
+            leadership_watch: LeadershipWatch::default(),
+            leader_probe: LeaderProbe::new(now.mono),
             peers: Peers::new(
                 settings.siblings.iter().map(|s| s.label.clone()),
                 process_base(boot),
@@ -101,9 +101,6 @@
             next_types: now.mono,
             types_busy: false,
             last_worker: None,
-            silent_since: None,
-            next_probe: now.mono + PROBE_MS,
-            alone_since: None,
             over: Vec::new(),
             next_counts: 0,
             forwarded: ForwardedRequests::new(process_base(boot)),
@@ -182,7 +179,7 @@
         if let Some(leader) = &mut self.leader {
             leader.tick(active, &mut mail);
         }
-        self.mind_leadership(&mut mail);
+        self.watch_leadership(&mut mail);
         if !self.gateway.knows_types() && !self.types_busy && now.mono >= self.next_types {
             self.types_busy = true;
             mail.state
@@ -220,36 +217,16 @@
         self.active(now) || self.informed_until().is_some_and(informed)
     }
 
-    /// A leader whom the state service refuses alone, or whom no worker reaches, makes room for a peer.
-    fn mind_leadership(&mut self, mail: &mut Mail) {
-        let now = mail.now.mono;
-        let Some(leader) = &self.leader else {
-            self.silent_since = None;
-            return;
-        };
-        let out_of_state = !self.election.lease_holds(now)
-            && now > self.state.last_good() + LEADER_LEASE_MS
-            && self.peers.with_state(now).is_some();
-        let deaf = self.election.lease_holds(now)
-            && leader.hears_nobody(now)
-            && self.peers.hear_workers(now);
-        if !out_of_state {
-            self.alone_since = None;
-        }
-        // After an outage a peer may simply be the first to notice its end.
-        if out_of_state && now > *self.alone_since.get_or_insert(now) + STATE_DOWN_MS {
-            self.alone_since = None;
-            self.election
-                .resign("a peer reaches the state service", mail);
-        } else if deaf {
-            let since = *self.silent_since.get_or_insert(now);
-            if now > since + 2 * PEER_FRESH_MS {
-                self.silent_since = None;
-                self.election
-                    .resign("workers reach a peer but not us", mail);
-            }
-        } else {
-            self.silent_since = None;
+    fn watch_leadership(&mut self, mail: &mut Mail) {
+        let reason = self.leadership_watch.reason_to_resign(
+            self.leader.as_ref(),
+            &self.election,
+            &self.state,
+            &self.peers,
+            mail.now.mono,
+        );
+        if let Some(reason) = reason {
+            self.election.resign(reason.as_str(), mail);
         }
     }
 
@@ -382,10 +359,9 @@
         let settled = now > self.election.known_since() + 2 * REPORT_DROP_MS;
         let deaf = leader.filter(|l| settled && self.peers.is_deaf(l, deaf_ms, now));
         // Now and then one worker is sent there all the same, to find out whether it is reached again.
-        let probe = deaf.is_some() && now >= self.next_probe;
-        if probe {
-            self.next_probe = now + PROBE_MS;
-        } else if let Some(leader) = deaf.filter(|_| !ForwardedRequests::is_from_peer(id)) {
+        let probe = deaf.is_some() && self.leader_probe.take_due(now);
+        let forward_to = deaf.filter(|_| !probe && !ForwardedRequests::is_from_peer(id));
+        if let Some(leader) = forward_to {
             let report = HttpRequest {
                 id,
                 method: "POST",
