--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,12 +6,15 @@
 
 mod cloud;
 mod election;
+mod forwarding;
 mod gateway;
 mod generations;
 mod leader;
+mod leadership_watch;
 pub mod mail;
 mod node;
 mod peers;
+mod pending_reports;
 pub mod settings;
 mod state;
 mod upgrade;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -2,27 +2,22 @@
 
 use crate::cloud::CloudClient;
 use crate::election::Election;
+use crate::forwarding::{ForwardedRequests, HttpRequest, REPORT_PATH};
 use crate::gateway::Gateway;
-use crate::leader::{direct_call, Heard, Held, Leader};
+use crate::leader::{direct_call, Heard, Leader};
+use crate::leadership_watch::{LeaderProbe, LeadershipWatch};
 use crate::mail::*;
 use crate::peers::{PeerState, Peers};
+use crate::pending_reports::{HeldAnswers, LeaderStatus, PendingReports};
 use crate::settings::{Operator, Settings};
 use crate::state::{Priority, StateClient, StateOp, StateReply};
 use crate::upgrade::Upgrade;
 use constants::*;
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use wire::peers::{JobNews, PeerMessage};
 use wire::records::{Final, TYPES};
 use wire::workers::{Elsewhere, Report};
 
-/// A request that a peer is handling for us.
-struct Forwarded {
-    request: RequestId,
-    /// The peer that is to answer.
-    by: String,
-    until: u64,
-}
-
 /// One controller.
 pub struct Node {
     settings: Settings,
@@ -34,13 +29,10 @@
     gateway: Gateway,
     upgrade: Upgrade,
     leader: Option<Leader>,
-    /// Reports whose answers wait.
-    held: Vec<(RequestId, Held)>,
-    /// Reports that came while no leader was known.
-    limbo: Vec<(RequestId, Vec<u8>, u64)>,
-    /// How many of them at a time: as many as workers may be connected.
-    limbo_most: usize,
-    next_limbo: u64,
+    pending_reports: PendingReports,
+    held_answers: HeldAnswers,
+    leadership_watch: LeadershipWatch,
+    leader_probe: LeaderProbe,
     peers: Peers,
     /// Number of this process, and cancellations it has confirmed.
     boot: u64,
@@ -55,27 +47,15 @@
     next_types: u64,
     types_busy: bool,
     last_worker: Option<u64>,
-    silent_since: Option<u64>,
-    /// When a worker is next sent to a leader that workers do not reach.
-    next_probe: u64,
-    /// Since when peers reach the state service and this leader does not.
-    alone_since: Option<u64>,
     /// Jobs filed away since the last beat, to be told to peers.
     over: Vec<(String, bool)>,
     next_counts: u64,
-    /// When held answers are looked at again even though nothing was decided.
-    next_release: u64,
-    forwards: HashMap<u64, Forwarded>,
-    /// Requests that we handle for peers: (peer, its number) by our number.
-    serving: HashMap<RequestId, (String, u64)>,
-    next_forward: u64,
-    next_serving: RequestId,
+    forwarded: ForwardedRequests,
     last_now: Now,
 }
 
-/// Numbers of requests forwarded by peers, apart from those of our own sockets.
-const PEER_REQUESTS: u64 = 1 << 62;
-const REPORT: &str = "/v1/report";
+/// Milliseconds until a node whose gateway is busy wakes up at the latest.
+const GATEWAY_WAKE_MS: u64 = 200;
 
 /// Where the numbers of a process begin that its peers give back to it.
 fn process_base(boot: u64) -> u64 {
@@ -102,10 +82,10 @@
                 settings.siblings.iter().map(|s| s.label.clone()),
             ),
             leader: None,
-            held: Vec::new(),
-            limbo: Vec::new(),
-            limbo_most: d.quota.max_connections,
-            next_limbo: 0,
+            pending_reports: PendingReports::new(d.quota.max_connections),
+            held_answers: HeldAnswers::default(),
+            leadership_watch: LeadershipWatch::default(),
+            leader_probe: LeaderProbe::new(now.mono),
             peers: Peers::new(
                 settings.siblings.iter().map(|s| s.label.clone()),
                 process_base(boot),
@@ -121,16 +101,9 @@
             next_types: now.mono,
             types_busy: false,
             last_worker: None,
-            silent_since: None,
-            next_probe: now.mono + PROBE_MS,
-            alone_since: None,
             over: Vec::new(),
             next_counts: 0,
-            next_release: 0,
-            forwards: HashMap::new(),
-            serving: HashMap::new(),
-            next_forward: process_base(boot),
-            next_serving: PEER_REQUESTS,
+            forwarded: ForwardedRequests::new(process_base(boot)),
             last_now: now,
             operator,
             stopwatch,
@@ -150,26 +123,23 @@
 
     /// When [`Node::tick`] wants to be called, on the steady clock.
     pub fn next_wake(&self) -> u64 {
-        let mut at = self.election.next_wake().min(self.next_beat);
-        if let Some(leader) = &self.leader {
-            at = at.min(leader.next_wake(self.active(self.last_now.mono)));
-        }
-        for wake in [self.state.next_wake(), self.cloud.next_wake()] {
-            at = at.min(wake.unwrap_or(u64::MAX));
-        }
-        if !self.gateway.is_idle() || !self.forwards.is_empty() || !self.limbo.is_empty() {
-            at = at.min(self.last_now.mono + 200);
-        }
-        let ready = self.leader.as_ref().is_some_and(Leader::is_ready);
-        if ready && !self.limbo.is_empty() {
-            at = self.last_now.mono;
-        }
-        if !self.held.is_empty() {
-            at = at.min(self.next_release);
-        }
-        at = at.min(self.gateway.next_wake());
-        at = at.min(self.upgrade.next_wake());
-        at.max(self.last_now.mono + 1)
+        let now = self.last_now.mono;
+        let leader_is_ready = self.leader.as_ref().is_some_and(Leader::is_ready);
+        let wakes = [
+            Some(self.election.next_wake()),
+            Some(self.next_beat),
+            self.leader.as_ref().map(|l| l.next_wake(self.active(now))),
+            self.state.next_wake(),
+            self.cloud.next_wake(),
+            (!self.gateway.is_idle()).then_some(now + GATEWAY_WAKE_MS),
+            Some(self.gateway.next_wake()),
+            Some(self.upgrade.next_wake()),
+            self.forwarded.next_wake(now),
+            self.pending_reports.next_wake(leader_is_ready, now),
+            self.held_answers.next_wake(),
+        ];
+        let earliest = wakes.into_iter().flatten().min();
+        earliest.map_or(now + 1, |at| at.max(now + 1))
     }
 
     /// Something happened.
@@ -182,7 +152,15 @@
                 method,
                 target,
                 body,
-            } => self.on_request(id, &method, &target, &body, &mut mail),
+            } => {
+                let request = HttpRequest {
+                    id,
+                    method: &method,
+                    target: &target,
+                    body: &body,
+                };
+                self.on_request(request, &mut mail);
+            }
             Input::Reply { call, result } => self.on_reply(call, &result, &mut mail),
             Input::Peer { from, message } => self.on_peer(&from, message, &mut mail),
             Input::PeerRefuses { from } => self.election.peer_refuses(&from, &mut mail),
@@ -201,7 +179,7 @@
         if let Some(leader) = &mut self.leader {
             leader.tick(active, &mut mail);
         }
-        self.mind_leadership(&mut mail);
+        self.watch_leadership(&mut mail);
         if !self.gateway.knows_types() && !self.types_busy && now.mono >= self.next_types {
             self.types_busy = true;
             mail.state
@@ -211,17 +189,7 @@
             self.next_beat = now.mono + PEER_BEAT_MS;
             self.beat(&mut mail);
         }
-        let late: Vec<u64> = self
-            .forwards
-            .iter()
-            .filter(|(_, f)| now.mono > f.until)
-            .map(|(n, _)| *n)
-            .collect();
-        for number in late {
-            if let Some(f) = self.forwards.remove(&number) {
-                mail.refuse(f.request, 503, "no answer from the peer");
-            }
-        }
+        self.forwarded.tick(&mut mail);
         self.deliver(mail);
     }
 
@@ -249,36 +217,16 @@
         self.active(now) || self.informed_until().is_some_and(informed)
     }
 
-    /// A leader whom the state service refuses alone, or whom no worker reaches, makes room for a peer.
-    fn mind_leadership(&mut self, mail: &mut Mail) {
-        let now = mail.now.mono;
-        let Some(leader) = &self.leader else {
-            self.silent_since = None;
-            return;
-        };
-        let out_of_state = !self.election.lease_holds(now)
-            && now > self.state.last_good() + LEADER_LEASE_MS
-            && self.peers.with_state(now).is_some();
-        let deaf = self.election.lease_holds(now)
-            && leader.hears_nobody(now)
-            && self.peers.hear_workers(now);
-        if !out_of_state {
-            self.alone_since = None;
-        }
-        // After an outage a peer may simply be the first to notice its end.
-        if out_of_state && now > *self.alone_since.get_or_insert(now) + STATE_DOWN_MS {
-            self.alone_since = None;
-            self.election
-                .resign("a peer reaches the state service", mail);
-        } else if deaf {
-            let since = *self.silent_since.get_or_insert(now);
-            if now > since + 2 * PEER_FRESH_MS {
-                self.silent_since = None;
-                self.election
-                    .resign("workers reach a peer but not us", mail);
-            }
-        } else {
-            self.silent_since = None;
+    fn watch_leadership(&mut self, mail: &mut Mail) {
+        let reason = self.leadership_watch.reason_to_resign(
+            self.leader.as_ref(),
+            &self.election,
+            &self.state,
+            &self.peers,
+            mail.now.mono,
+        );
+        if let Some(reason) = reason {
+            self.election.resign(reason.as_str(), mail);
         }
     }
 
@@ -329,26 +277,22 @@
         }
     }
 
-    fn on_request(
-        &mut self,
-        id: RequestId,
-        method: &str,
-        target: &str,
-        body: &[u8],
-        mail: &mut Mail,
-    ) {
-        let path = target.split('?').next().unwrap_or_default();
+    fn on_request(&mut self, request: HttpRequest, mail: &mut Mail) {
+        let HttpRequest {
+            id, method, body, ..
+        } = request;
+        let path = request.target.split('?').next().unwrap_or_default();
         match (method, path) {
             ("GET", "/ready") => mail.respond(id, 200, Vec::new()),
-            ("POST", "/v1/report") => self.on_report(id, body, mail),
-            (_, "/ready" | "/v1/report") => mail.refuse(id, 405, "method not allowed"),
+            ("POST", REPORT_PATH) => self.on_report(id, body, mail),
+            (_, "/ready" | REPORT_PATH) => mail.refuse(id, 405, "method not allowed"),
             _ if path == "/submissions" || path.starts_with("/submissions/") => {
                 let now = mail.now.mono;
                 let up = self.state.is_up(now);
-                if !up && id < PEER_REQUESTS {
+                if !up && !ForwardedRequests::is_from_peer(id) {
                     if let Some(peer) = self.peers.with_state(now) {
-                        let to = peer.to_string();
-                        return self.forward(id, method, target, body, to, mail);
+                        let peer = peer.to_string();
+                        return self.forwarded.forward(request, peer, mail);
                     }
                 }
                 self.gateway.on_request(id, method, path, body, up, mail);
@@ -357,88 +301,74 @@
         }
     }
 
-    fn forward(
-        &mut self,
-        request: RequestId,
-        method: &str,
-        target: &str,
-        body: &[u8],
-        to: String,
-        mail: &mut Mail,
-    ) {
-        if self.forwards.len() >= USER_INFLIGHT {
-            return mail.refuse(request, 503, "too many requests in hand");
-        }
-        self.next_forward += 1;
-        let patience = if target == REPORT {
-            REPORT_FORWARD_MS
-        } else {
-            USER_DEADLINE_MS
-        };
-        let until = mail.now.mono + patience;
-        let by = to.clone();
-        self.forwards
-            .insert(self.next_forward, Forwarded { request, by, until });
-        mail.out.push(Output::Peer {
-            to: Some(to),
-            message: PeerMessage::Forward {
-                call: self.next_forward,
-                method: method.to_string(),
-                target: target.to_string(),
-                body: body.to_vec(),
-            },
-        });
-    }
-
     fn on_report(&mut self, id: RequestId, body: &[u8], mail: &mut Mail) {
-        let now = mail.now;
-        if id < PEER_REQUESTS {
-            self.last_worker = Some(now.mono);
+        let now = mail.now.mono;
+        if !ForwardedRequests::is_from_peer(id) {
+            self.last_worker = Some(now);
         }
         let report: Report = match wire::decode(body) {
             Ok(report) => report,
             Err(why) => return mail.refuse(id, 400, &why.to_string()),
         };
-        let loading = self.leader.as_ref().is_some_and(|l| !l.is_ready());
-        if loading && self.limbo.len() < self.limbo_most {
-            // An answer would renew the leases of tasks that may be cancelled, for all it knows.
-            self.limbo.push((id, body.to_vec(), now.mono));
-            return;
+        let status = self.leader_status(now);
+        // While the leader is loading, an answer would renew the leases of tasks that may be cancelled, for all it knows.
+        let waits = matches!(status, LeaderStatus::Unknown | LeaderStatus::Loading);
+        if waits && self.pending_reports.has_room() {
+            return self.pending_reports.push(id, body, now);
         }
-        if self.leader.is_some() {
-            if !self.may_answer(now.mono) {
-                return mail.refuse(id, 503, "not entitled to answer workers");
-            }
-            let active = self.active(now.mono);
-            let Some(leader) = &mut self.leader else {
-                return;
-            };
-            match leader.on_report(report, active, now) {
-                Heard::Answer(answer) => mail.respond(id, 200, wire::encode(&answer)),
-                Heard::Hold(held) => self.held.push((id, held)),
-                Heard::Newer(term) => {
-                    self.election.heard_term(term, mail);
-                    mail.refuse(id, 503, "a newer leader exists");
-                }
-            }
-            return;
+        match status {
+            LeaderStatus::Ready | LeaderStatus::Loading => self.report_to_leader(id, report, mail),
+            LeaderStatus::Elsewhere | LeaderStatus::Unknown => self.pass_report_on(id, body, mail),
+        }
+    }
+
+    fn leader_status(&self, now: u64) -> LeaderStatus {
+        match &self.leader {
+            Some(leader) if leader.is_ready() => LeaderStatus::Ready,
+            Some(_) => LeaderStatus::Loading,
+            None if self.election.leader_label(now).is_some() => LeaderStatus::Elsewhere,
+            None => LeaderStatus::Unknown,
+        }
+    }
+
+    fn report_to_leader(&mut self, id: RequestId, report: Report, mail: &mut Mail) {
+        let now = mail.now;
+        if !self.may_answer(now.mono) {
+            return mail.refuse(id, 503, "not entitled to answer workers");
         }
-        if self.election.leader_label(now.mono).is_none() && self.limbo.len() < self.limbo_most {
-            self.limbo.push((id, body.to_vec(), now.mono));
+        let active = self.active(now.mono);
+        let Some(leader) = &mut self.leader else {
             return;
+        };
+        match leader.on_report(report, active, now) {
+            Heard::Answer(answer) => mail.respond(id, 200, wire::encode(&answer)),
+            Heard::Hold(held) => self.held_answers.push(id, held),
+            Heard::Newer(term) => {
+                self.election.heard_term(term, mail);
+                mail.refuse(id, 503, "a newer leader exists");
+            }
         }
-        // A leader that lives but that no worker reaches gets the reports through us: sent to it, the worker
-        // would lose another 4 s, and its lease before long.
+    }
+
+    /// Sends a worker to the leader, or passes its report on to a leader that lives but that no worker reaches: sent to
+    /// it, the worker would lose another 4 s, and its lease before long.
+    fn pass_report_on(&mut self, id: RequestId, body: &[u8], mail: &mut Mail) {
+        let now = mail.now.mono;
         let deaf_ms = (self.settings.deployment.workers.report_s * 1500.0) as u64 + PEER_BEAT_MS;
-        let leader = self.election.leader_label(now.mono).map(str::to_string);
-        let settled = now.mono > self.election.known_since() + 2 * REPORT_DROP_MS;
-        let deaf = leader.filter(|l| settled && self.peers.is_deaf(l, deaf_ms, now.mono));
+        let leader = self.election.leader_label(now).map(str::to_string);
+        let settled = now > self.election.known_since() + 2 * REPORT_DROP_MS;
+        let deaf = leader.filter(|l| settled && self.peers.is_deaf(l, deaf_ms, now));
         // Now and then one worker is sent there all the same, to find out whether it is reached again.
-        let probe = deaf.is_some() && now.mono >= self.next_probe;
-        if probe {
-            self.next_probe = now.mono + PROBE_MS;
-        } else if let Some(leader) = deaf.filter(|_| id < PEER_REQUESTS) {
-            return self.forward(id, "POST", REPORT, body, leader, mail);
+        let probe = deaf.is_some() && self.leader_probe.take_due(now);
+        let forward_to = deaf.filter(|_| !probe && !ForwardedRequests::is_from_peer(id));
+        if let Some(leader) = forward_to {
+            let report = HttpRequest {
+                id,
+                method: "POST",
+                target: REPORT_PATH,
+                body,
+            };
+            return self.forwarded.forward(report, leader, mail);
         }
         self.send_elsewhere(id, mail);
     }
@@ -453,35 +383,20 @@
     }
 
     /// Goes on with reports that came while no leader was known, or before this one had read its records.
-    fn leave_limbo(&mut self, mail: &mut Mail) {
-        if self.limbo.is_empty() {
+    fn handle_pending_reports(&mut self, mail: &mut Mail) {
+        if self.pending_reports.is_empty() {
             return;
         }
         let now = mail.now.mono;
-        let loading = self.leader.as_ref().map(|l| !l.is_ready());
-        if loading == Some(false) {
-            let most = LIMBO_A_TURN.min(self.limbo.len());
-            for (id, body, _) in self.limbo.drain(..most).collect::<Vec<_>>() {
-                self.on_report(id, &body, mail);
+        let status = self.leader_status(now);
+        if status == LeaderStatus::Ready {
+            for report in self.pending_reports.take_batch() {
+                self.on_report(report.id, &report.body, mail);
             }
             return;
         }
-        let elsewhere = loading.is_none() && self.election.leader_label(now).is_some();
-        if !elsewhere && now < self.next_limbo {
-            return;
-        }
-        self.next_limbo = now + LIMBO_LOOK_MS;
-        let patience = if loading.is_some() {
-            LOADING_MS
-        } else {
-            LIMBO_MS
-        };
-        for (id, body, since) in std::mem::take(&mut self.limbo) {
-            if elsewhere || now > since + patience {
-                self.send_elsewhere(id, mail);
-            } else {
-                self.limbo.push((id, body, since));
-            }
+        for id in self.pending_reports.take_redirected(status, now) {
+            self.send_elsewhere(id, mail);
         }
     }
 
@@ -575,67 +490,37 @@
                 target,
                 body,
             } => {
-                self.next_serving += 1;
-                let id = self.next_serving;
-                self.serving.insert(id, (from.to_string(), call));
-                self.on_request(id, &method, &target, &body, mail);
+                let request = HttpRequest {
+                    id: self.forwarded.accept(from, call),
+                    method: &method,
+                    target: &target,
+                    body: &body,
+                };
+                self.on_request(request, mail);
             }
             PeerMessage::Forwarded { call, status, body } => {
-                // Answers to an earlier process of ours, or of another peer, are about something else.
-                if self.forwards.get(&call).is_none_or(|f| f.by != from) {
-                    return;
-                }
-                if let Some(f) = self.forwards.remove(&call) {
-                    mail.out.push(Output::Respond {
-                        id: f.request,
-                        status,
-                        retry_after_s: matches!(status, 429 | 503).then_some(RETRY_AFTER_S),
-                        body,
-                    });
-                }
+                self.forwarded.on_answer(from, call, status, body, mail);
             }
         }
     }
 
     /// Answers held reports for which there is nothing left to wait for.
-    fn release(&mut self, mail: &mut Mail) {
-        if self.held.is_empty() {
-            return;
-        }
-        let now = mail.now;
-        // With hundreds of workers held, looking at all of them at every message would cost more than the
-        // messages themselves.
-        let settled = self
-            .leader
-            .as_mut()
-            .is_none_or(|l| std::mem::take(&mut l.settled));
-        if !settled && now.mono < self.next_release {
+    fn release_held_answers(&mut self, mail: &mut Mail) {
+        let now = mail.now.mono;
+        if !self.held_answers.is_due(self.leader.as_mut(), now) {
             return;
         }
-        self.next_release = now.mono + RELEASE_MS;
-        let active = self.active(now.mono);
-        let may_answer = self.may_answer(now.mono);
-        let leader = &mut self.leader;
-        self.held.retain(|(id, held)| {
-            let Some(leader) = leader.as_mut().filter(|_| may_answer) else {
-                mail.refuse(*id, 503, "not entitled to answer workers");
-                return false;
-            };
-            match leader.held_answer(held, active, now) {
-                Some(answer) => {
-                    mail.respond(*id, 200, wire::encode(&answer));
-                    false
-                }
-                None => true,
-            }
-        });
+        let active = self.active(now);
+        let may_answer = self.may_answer(now);
+        let leader = self.leader.as_mut().filter(|_| may_answer);
+        self.held_answers.release(leader, active, mail);
     }
 
     /// Passes on what actors said until nobody has anything left to say.
     fn deliver(&mut self, mut mail: Mail) {
         let now = mail.now;
         let mut expired = Vec::new();
-        let mut limbo_due = true;
+        let mut pending_due = true;
         loop {
             for (priority, op, tag) in std::mem::take(&mut mail.state) {
                 self.state.push(now, priority, op, tag);
@@ -657,7 +542,7 @@
                 self.state_replied(tag, reply, &mut mail);
             }
             for output in std::mem::take(&mut mail.out) {
-                self.emit(output);
+                self.out.extend(self.forwarded.route(output));
             }
             let quiet = mail.state.is_empty()
                 && mail.cloud.is_empty()
@@ -665,10 +550,10 @@
                 && mail.news.is_empty()
                 && mail.out.is_empty();
             if quiet {
-                if std::mem::take(&mut limbo_due) {
-                    self.leave_limbo(&mut mail);
+                if std::mem::take(&mut pending_due) {
+                    self.handle_pending_reports(&mut mail);
                 }
-                self.release(&mut mail);
+                self.release_held_answers(&mut mail);
                 if mail.out.is_empty() {
                     return;
                 }
@@ -676,24 +561,6 @@
         }
     }
 
-    fn emit(&mut self, output: Output) {
-        let output = match output {
-            Output::Respond {
-                id, status, body, ..
-            } if id >= PEER_REQUESTS => {
-                let Some((to, call)) = self.serving.remove(&id) else {
-                    return;
-                };
-                Output::Peer {
-                    to: Some(to),
-                    message: PeerMessage::Forwarded { call, status, body },
-                }
-            }
-            other => other,
-        };
-        self.out.push_back(output);
-    }
-
     fn on_news(&mut self, news: News, mail: &mut Mail) {
         self.gateway.on_news(&news);
         match news {
