--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -9,7 +9,7 @@
 mod worker;
 
 pub use rules::{Jobs, Placed, Question, Rules};
-pub use state::{FakeLimits, FakeState};
+pub use state::{FakeLimits, FakeState, RequestCounts};
 pub use troubles::{CopyTo, Troubles, LATE_REPORT_MS, LATE_TXN_MS};
 pub use worker::{Behaviour, FakeTask, FakeWorker, Gang};
 
@@ -72,6 +72,7 @@
     next_event: u64,
     next_request: u64,
     answers: BTreeMap<u64, (u16, Vec<u8>)>,
+    answered_at: BTreeMap<u64, u64>,
     /// Who sent the request: nothing for users.
     reporters: BTreeMap<u64, (String, u64)>,
     /// State service.
@@ -180,6 +181,7 @@
             next_event: 0,
             next_request: 0,
             answers: BTreeMap::new(),
+            answered_at: BTreeMap::new(),
             reporters: BTreeMap::new(),
             state: FakeState::default(),
             state_down: false,
@@ -285,6 +287,11 @@
         self.nodes[i].node.as_ref().and_then(Node::leads)
     }
 
+    /// How many controllers there are, those that are down included.
+    pub fn node_count(&self) -> usize {
+        self.nodes.len()
+    }
+
     /// Whether a node's process has ended.
     pub fn is_down(&self, i: usize) -> bool {
         self.nodes[i].node.is_none()
@@ -443,12 +450,22 @@
             let at = self.now + DELAY;
             match output {
                 Output::Respond {
-                    id, status, body, ..
+                    id,
+                    status,
+                    retry_after_s,
+                    body,
                 } => match self.reporters.remove(&id) {
                     Some((worker, seq)) => {
                         self.push(at, Event::Answer(worker, seq, status, body));
                     }
-                    None => self.respond(id, status, body),
+                    None => {
+                        // A user that is not told when to come back comes back after a second, flood or not.
+                        if matches!(status, 429 | 503) && retry_after_s.is_none() {
+                            let breach = format!("no Retry-After with {status} at {}", self.now);
+                            self.broken.push(breach);
+                        }
+                        self.respond(id, status, body);
+                    }
                 },
                 Output::Call {
                     call,
@@ -885,6 +902,7 @@
     FakeLimits {
         value_bytes: limits.value_bytes,
         txn_ops: limits.txn_ops,
+        rps: limits.rps,
         write_rps: limits.write_rps,
     }
 }
--- a/crates/fakes/src/state.rs
+++ b/crates/fakes/src/state.rs
@@ -25,21 +25,97 @@
     pub value_bytes: usize,
     /// Changes of a transaction, and a quarter of its conditions.
     pub txn_ops: usize,
+    /// Requests a second.
+    pub rps: f64,
     /// Changes a second.
     pub write_rps: f64,
 }
 
+/// What may still be taken of a rate at once, up to one second's worth of it.
+#[derive(Default)]
+struct Allowance {
+    level: f64,
+    at: u64,
+}
+
+impl Allowance {
+    /// Takes `wanted` if that much is left; nothing if not.
+    fn take(&mut self, now: u64, rate: f64, wanted: f64) -> bool {
+        let passed = now.saturating_sub(self.at) as f64 / 1000.0;
+        self.level = (self.level + passed * rate).min(rate);
+        self.at = now;
+        let granted = self.level + 1e-9 >= wanted;
+        self.level -= if granted { wanted } else { 0.0 };
+        granted
+    }
+}
+
+/// How many requests of each kind have arrived, those refused for their rate included.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RequestCounts {
+    /// Readings of one key.
+    pub reads: u64,
+    /// Readings of many keys.
+    pub lists: u64,
+    /// Transactions that only compare.
+    pub comparisons: u64,
+    /// Transactions that write.
+    pub commits: u64,
+    /// Leases granted, renewed or ended.
+    pub leases: u64,
+    /// Watches.
+    pub watches: u64,
+}
+
+impl RequestCounts {
+    /// What was counted since an earlier count.
+    pub fn since(&self, earlier: &RequestCounts) -> RequestCounts {
+        RequestCounts {
+            reads: self.reads - earlier.reads,
+            lists: self.lists - earlier.lists,
+            comparisons: self.comparisons - earlier.comparisons,
+            commits: self.commits - earlier.commits,
+            leases: self.leases - earlier.leases,
+            watches: self.watches - earlier.watches,
+        }
+    }
+
+    /// Requests that answers to users can have cost: single readings and comparisons. The leader's own single readings
+    /// are among them.
+    pub fn questions(&self) -> u64 {
+        self.reads + self.comparisons
+    }
+
+    fn count(&mut self, method: &str, target: &str, body: &[u8]) {
+        let path = target.split('?').next().unwrap_or_default();
+        let compares = || wire::decode::<Txn>(body).is_ok_and(|txn| txn.writes.is_empty());
+        let counter = match path {
+            "/multi" if method == "POST" && compares() => &mut self.comparisons,
+            "/multi" if method == "POST" => &mut self.commits,
+            "/changes" => &mut self.watches,
+            "/kv" => &mut self.lists,
+            _ if path.starts_with("/leases") => &mut self.leases,
+            _ => &mut self.reads,
+        };
+        *counter += 1;
+    }
+}
+
 /// Keys, leases and changes.
 #[derive(Default)]
 pub struct FakeState {
     /// Limits, if any; may be lowered at any time.
     pub limits: Option<FakeLimits>,
-    /// Changes that may still be made at once, and when that was reckoned.
-    allowance: (f64, u64),
+    request_allowance: Allowance,
+    write_allowance: Allowance,
     /// Transactions refused as too large, and for their rate.
     pub too_large: u64,
     /// See above.
     pub too_many: u64,
+    /// Requests refused for their rate.
+    pub too_frequent: u64,
+    /// Requests by kind.
+    pub counts: RequestCounts,
     entries: BTreeMap<String, Entry>,
     leases: BTreeMap<u64, (u64, u64)>,
     log: Vec<Change>,
@@ -162,6 +238,13 @@
         body: &[u8],
     ) -> Option<(u16, Vec<u8>)> {
         self.requests += 1;
+        self.counts.count(method, target, body);
+        if let Some(limits) = self.limits {
+            if !self.request_allowance.take(now, limits.rps, 1.0) {
+                self.too_frequent += 1;
+                return Some((429, vec![]));
+            }
+        }
         let path = target.split('?').next().unwrap_or_default();
         if method == "POST" && path == "/multi" {
             return Some(match wire::decode(body) {
@@ -253,11 +336,8 @@
             self.too_large += 1;
             return Some(400);
         }
-        let passed = now.saturating_sub(self.allowance.1) as f64 / 1000.0;
-        let level = (self.allowance.0 + passed * limits.write_rps).min(limits.write_rps);
         let wanted = txn.writes.len() as f64;
-        let granted = level + 1e-9 >= wanted;
-        self.allowance = (level - if granted { wanted } else { 0.0 }, now);
+        let granted = self.write_allowance.take(now, limits.write_rps, wanted);
         self.too_many += u64::from(!granted);
         (!granted).then_some(429)
     }
--- a/crates/fakes/src/users.rs
+++ b/crates/fakes/src/users.rs
@@ -49,9 +49,16 @@
 
     /// The answer to a request, once.
     pub fn answer(&mut self, request: u64) -> Option<(u16, Vec<u8>)> {
+        self.answered_at.remove(&request);
         self.answers.remove(&request)
     }
 
+    /// When a request was answered and with which status, once.
+    pub fn answer_at(&mut self, request: u64) -> Option<(u64, u16)> {
+        let at = self.answered_at.get(&request).copied()?;
+        self.answer(request).map(|(status, _)| (at, status))
+    }
+
     /// A node answers a user.
     pub(crate) fn respond(&mut self, request: u64, status: u16, body: Vec<u8>) {
         let told: Option<JobStatus> = wire::decode(&body).ok();
@@ -61,6 +68,7 @@
         self.rules.answered(request, status, phase, about, self.now);
         self.broken.append(&mut self.rules.broken);
         self.answers.insert(request, (status, body));
+        self.answered_at.insert(request, self.now);
     }
 
     pub(crate) fn request(
--- a/crates/fakes/tests/checks.rs
+++ b/crates/fakes/tests/checks.rs
@@ -2,7 +2,7 @@
 
 use control::settings::Team;
 use std::collections::BTreeSet;
-use vetchmount_fakes::{array, Jobs, Placed, Question, Rules};
+use vetchmount_fakes::{array, FakeLimits, FakeState, Jobs, Placed, Question, Rules};
 use wire::users::{Phase, Submission};
 
 fn rules() -> Rules {
@@ -368,3 +368,44 @@
     }
     broke(&r, "left_waiting run-1");
 }
+
+#[test]
+fn requests_and_writes_beyond_the_rates_of_the_state_service_are_refused_and_counted() {
+    let mut state = FakeState::default();
+    state.limits = Some(FakeLimits {
+        value_bytes: 1024,
+        txn_ops: 4,
+        rps: 20.0,
+        write_rps: 5.0,
+    });
+    let write = |n: u64| wire::state::Txn {
+        guards: vec![],
+        writes: vec![wire::state::Write::delete(format!("k/{n}"))],
+    };
+    let mut statuses = Vec::new();
+    for n in 0..10 {
+        let body = wire::encode(&write(n));
+        let (status, _) = state
+            .serve(5_000, (0, n), "POST", "/multi", &body)
+            .expect("answer");
+        statuses.push(status);
+    }
+    assert_eq!(
+        statuses.iter().filter(|s| **s == 200).count(),
+        5,
+        "one second's worth"
+    );
+    for n in 0..15 {
+        let (status, _) = state
+            .serve(5_000, (0, n), "GET", "/kv/k/1", &[])
+            .expect("answer");
+        assert_eq!(status, if n < 10 { 404 } else { 429 }, "request {n}");
+    }
+    let refused = (state.too_many, state.too_frequent);
+    assert_eq!(refused, (5, 5));
+    assert_eq!((state.counts.commits, state.counts.reads), (10, 15));
+    // Half a second later half of the rate is there again.
+    let answers = (0..11).map(|n| state.serve(5_500, (0, n), "GET", "/kv/k/1", &[]));
+    let served = answers.flatten().filter(|(status, _)| *status == 404);
+    assert_eq!(served.count(), 10);
+}
