State client: questions, changes and books each have a rate of their own

Cause: all of a node's requests came out of one rate, users before the books, and users' requests in one queue. During a flood of questions the leader's records got nothing of the rate (starts stopped), and submissions and cancellations waited behind readings for questions until they were refused after 1.8 s. The nodes together also asked for 1.8 times the service's rate, so that renewals of the leader's lease were refused now and then.

Ruled out: books before users in the one queue, since a leader with much to record would then starve users; a share that follows refusals up and down, since three flooded nodes would keep running into the limit that renewals share.

Now questions have half of the rate by all nodes together, readings for changes a fifth; what is written keeps its rates. Machine types and the upgrade's look, asked once a second at most, go with elections.

Seen failing without the guard (questions and readings put back into the common rate): users_of_every_kind_together_ leave_the_books_their_rate: in one second 44 writes and 90 readings for changes, books 0, questions 0.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -60,6 +60,16 @@
 pub const STATE_DOWN_MS: u64 = 1_500;
 /// Share of the state service's request rate one node may use at most; nodes share the limit.
 pub const STATE_RPS_SHARE: f64 = 0.6;
+/// Share of the state service's request rate that all nodes together may spend on questions of users. What is left is
+/// for changes, the books, elections and watches.
+pub const QUESTION_SHARE: f64 = 0.5;
+/// Seconds' worth of its part of that that a node may spend at once.
+pub const QUESTION_BURST_S: f64 = 1.0;
+/// Share of the state service's request rate that all nodes together may spend on reading what submissions and
+/// cancellations need.
+pub const CHANGE_READ_SHARE: f64 = 0.2;
+/// Seconds' worth of its part of that that a node may spend at once: as for writes, what came up during an outage.
+pub const CHANGE_READ_BURST_S: f64 = 2.0;
 /// Share of the state service's write rate that bookkeeping may use, the rest being for users; it takes less when the
 /// rate limit is hit.
 pub const STATE_WRITE_SHARE: f64 = 0.75;
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -29,6 +29,13 @@
     Abort,
 }
 
+impl Want {
+    /// Whether something is to be changed, rather than asked.
+    fn is_change(&self) -> bool {
+        !matches!(self, Want::Status)
+    }
+}
+
 #[derive(PartialEq)]
 enum Stage {
     /// The record's version is known: it waits for a transaction that proves that it still holds.
@@ -351,8 +358,12 @@
             (Stage::Final, _) => StateOp::Get(final_key(&ticket.id)),
             _ => StateOp::Get(job_key(&ticket.id)),
         };
-        mail.state
-            .push((Priority::User, op, StateTag::User(number)));
+        let priority = match (&op, ticket.want.is_change()) {
+            (StateOp::Txn(_), _) => Priority::Change,
+            (_, true) => Priority::ChangeRead,
+            (_, false) => Priority::Question,
+        };
+        mail.state.push((priority, op, StateTag::User(number)));
     }
 
     fn refuse(&mut self, number: u64, status: u16, why: &str, mail: &mut Mail) {
@@ -477,7 +488,7 @@
                 writes: vec![Write::put(key, &self.cancelled(record))],
             };
             let tag = StateTag::User(number);
-            mail.state.push((Priority::User, StateOp::Txn(txn), tag));
+            mail.state.push((Priority::Change, StateOp::Txn(txn), tag));
             return;
         }
         let id = ticket.id.clone();
--- a/crates/control/src/gateway/proofs.rs
+++ b/crates/control/src/gateway/proofs.rs
@@ -96,7 +96,7 @@
         self.proofs += 1;
         let number = self.proofs;
         mail.state
-            .push((Priority::User, op, StateTag::Proof(number)));
+            .push((Priority::Proof, op, StateTag::Proof(number)));
         self.proof = Some(Proof {
             number,
             keys,
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -93,7 +93,7 @@
     ) -> Self {
         let d = &settings.deployment;
         Node {
-            state: StateClient::new(d.state.rps, d.state.write_rps),
+            state: StateClient::new(d.state.rps, d.state.write_rps, settings.siblings.len() + 1),
             cloud: CloudClient::new(d.cloud.rps),
             election: Election::new(&settings.label, boot),
             gateway: Gateway::new(d.teams.clone(), &d.state),
@@ -204,8 +204,11 @@
         self.mind_leadership(&mut mail);
         if !self.gateway.knows_types() && !self.types_busy && now.mono >= self.next_types {
             self.types_busy = true;
-            mail.state
-                .push((Priority::User, StateOp::Get(TYPES.into()), StateTag::Types));
+            mail.state.push((
+                Priority::Leadership,
+                StateOp::Get(TYPES.into()),
+                StateTag::Types,
+            ));
         }
         if now.mono >= self.next_beat {
             self.next_beat = now.mono + PEER_BEAT_MS;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -5,12 +5,38 @@
 use std::collections::{HashMap, VecDeque};
 use wire::state::*;
 
-/// Order in which requests are sent when the budget is short.
+/// Order in which requests are sent when the budget is short. Each but the first has a rate of its own, so that however
+/// many of one are waiting, the others go on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Priority {
-    Leadership = 0,
-    User = 1,
-    Books = 2,
+    /// Elections, renewals, watches, and what is asked once a while.
+    Leadership,
+    /// Transactions that create or cancel jobs.
+    Change,
+    /// What has to be read for a submission or a cancellation.
+    ChangeRead,
+    /// The leader's records.
+    Books,
+    /// Transactions that answer many questions at once.
+    Proof,
+    /// What has to be read for a single question.
+    Question,
+}
+
+impl Priority {
+    const ALL: [Priority; 6] = [
+        Priority::Leadership,
+        Priority::Change,
+        Priority::ChangeRead,
+        Priority::Books,
+        Priority::Proof,
+        Priority::Question,
+    ];
+
+    /// Whether a user waits for the answer.
+    fn is_for_user(self) -> bool {
+        !matches!(self, Priority::Leadership | Priority::Books)
+    }
 }
 
 /// A request to the state service.
@@ -110,10 +136,14 @@
 }
 
 pub(crate) struct StateClient {
+    /// Controllers that share the state service's rate.
+    nodes: usize,
     requests: Bucket,
+    change_reads: Bucket,
+    questions: Bucket,
     user_writes: Bucket,
     book_writes: Bucket,
-    queues: [VecDeque<Waiting>; 3],
+    queues: [VecDeque<Waiting>; Priority::ALL.len()],
     inflight: HashMap<CallId, (StateOp, StateTag)>,
     paused_until: u64,
     /// Rate and burst that bookkeeping may have, what share of the rate it takes, and when that was reckoned.
@@ -124,16 +154,29 @@
     last_bad: u64,
 }
 
-/// Rate and burst of one node's requests, its users' writes and its bookkeeping.
-fn shares(rps: f64, write_rps: f64) -> [(f64, f64); 3] {
-    let requests = rps * STATE_RPS_SHARE;
-    let users = write_rps * USER_WRITE_SHARE;
-    let books = write_rps * STATE_WRITE_SHARE;
-    [
-        (requests, requests * 0.5),
-        (users, write_rps * USER_WRITE_BURST),
-        (books, books * 0.5),
-    ]
+/// What one node may send, each as a rate and a burst.
+struct Shares {
+    requests: (f64, f64),
+    change_reads: (f64, f64),
+    questions: (f64, f64),
+    user_writes: (f64, f64),
+    book_writes: (f64, f64),
+}
+
+impl Shares {
+    fn new(rps: f64, write_rps: f64, nodes: usize) -> Self {
+        let requests = rps * STATE_RPS_SHARE;
+        let change_reads = rps * CHANGE_READ_SHARE / nodes as f64;
+        let questions = rps * QUESTION_SHARE / nodes as f64;
+        let books = write_rps * STATE_WRITE_SHARE;
+        Shares {
+            requests: (requests, requests * 0.5),
+            change_reads: (change_reads, change_reads * CHANGE_READ_BURST_S),
+            questions: (questions, questions * QUESTION_BURST_S),
+            user_writes: (write_rps * USER_WRITE_SHARE, write_rps * USER_WRITE_BURST),
+            book_writes: (books, books * 0.5),
+        }
+    }
 }
 
 fn writes_of(op: &StateOp) -> f64 {
@@ -144,16 +187,21 @@
 }
 
 impl StateClient {
-    pub fn new(rps: f64, write_rps: f64) -> Self {
-        let [requests, users, books] = shares(rps, write_rps);
+    /// A client of one of `nodes` controllers that share these rates.
+    pub fn new(rps: f64, write_rps: f64, nodes: usize) -> Self {
+        let shares = Shares::new(rps, write_rps, nodes);
+        let bucket = |(rate, burst): (f64, f64)| Bucket::new(rate, burst);
         StateClient {
-            requests: Bucket::new(requests.0, requests.1),
-            user_writes: Bucket::new(users.0, users.1),
-            book_writes: Bucket::new(books.0, books.1),
+            nodes,
+            requests: bucket(shares.requests),
+            change_reads: bucket(shares.change_reads),
+            questions: bucket(shares.questions),
+            user_writes: bucket(shares.user_writes),
+            book_writes: bucket(shares.book_writes),
             queues: Default::default(),
             inflight: HashMap::new(),
             paused_until: 0,
-            books,
+            books: shares.book_writes,
             strain: (1.0, 0),
             wake: None,
             last_good: 0,
@@ -163,10 +211,15 @@
 
     /// Shares out these limits of the state service from now on.
     pub fn hold_to(&mut self, rps: f64, write_rps: f64) {
-        let [requests, users, books] = shares(rps, write_rps);
-        self.requests.set(requests.0, requests.1);
-        self.user_writes.set(users.0, users.1);
-        self.books = books;
+        let shares = Shares::new(rps, write_rps, self.nodes);
+        self.requests.set(shares.requests.0, shares.requests.1);
+        self.change_reads
+            .set(shares.change_reads.0, shares.change_reads.1);
+        self.questions.set(shares.questions.0, shares.questions.1);
+        self.user_writes
+            .set(shares.user_writes.0, shares.user_writes.1);
+        self.books = shares.book_writes;
+        let books = self.books;
         self.book_writes.set(books.0 * self.strain.0, books.1);
     }
 
@@ -216,40 +269,30 @@
         let now = mail.now.mono;
         self.wake = None;
         self.ease(now, false);
-        for p in 0..self.queues.len() {
-            while let Some(first) = self.queues[p].front() {
-                if p == Priority::User as usize && now > first.since + USER_DEADLINE_MS {
-                    if let Some(w) = self.queues[p].pop_front() {
+        for priority in Priority::ALL {
+            let queue = priority as usize;
+            while let Some(first) = self.queues[queue].front() {
+                if priority.is_for_user() && now > first.since + USER_DEADLINE_MS {
+                    if let Some(w) = self.queues[queue].pop_front() {
                         expired.push((w.tag, StateReply::Refused));
                     }
                     continue;
                 }
-                if p > 0 && now < self.paused_until {
+                if priority != Priority::Leadership && now < self.paused_until {
                     self.wake = Some(self.paused_until);
                     break;
                 }
                 let writes = writes_of(&first.op);
-                let bucket = if p == Priority::User as usize {
-                    &mut self.user_writes
-                } else {
-                    &mut self.book_writes
-                };
-                bucket.refill(now);
-                self.requests.refill(now);
-                // Elections and renewals are never held back by what the books have used up.
-                let wait = if p == 0 {
-                    0
-                } else {
-                    bucket.wait(writes).max(self.requests.wait(1.0))
-                };
+                let wait = self.wait(priority, writes, now);
                 if wait > 0 {
                     let at = now + wait;
                     self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
                     break;
                 }
-                bucket.level -= writes;
                 self.requests.level -= 1.0;
-                if let Some(w) = self.queues[p].pop_front() {
+                let (own, amount) = self.own_bucket(priority, writes);
+                own.level -= amount;
+                if let Some(w) = self.queues[queue].pop_front() {
                     *next_call += 1;
                     mail.out.push(call_of(&w.op, *next_call));
                     self.inflight.insert(*next_call, (w.op, w.tag));
@@ -258,6 +301,32 @@
         }
     }
 
+    /// The rate that a priority has to itself, and what a request takes of it.
+    ///
+    /// With one rate for all, users' questions, which go before the books, left the books nothing during a flood, and
+    /// submissions waited behind questions until they were refused.
+    fn own_bucket(&mut self, priority: Priority, writes: f64) -> (&mut Bucket, f64) {
+        match priority {
+            Priority::Leadership | Priority::Books => (&mut self.book_writes, writes),
+            Priority::Change => (&mut self.user_writes, writes),
+            Priority::ChangeRead => (&mut self.change_reads, 1.0),
+            Priority::Proof | Priority::Question => (&mut self.questions, 1.0),
+        }
+    }
+
+    /// Milliseconds until a request may go.
+    fn wait(&mut self, priority: Priority, writes: f64, now: u64) -> u64 {
+        self.requests.refill(now);
+        let all = self.requests.wait(1.0);
+        let (own, amount) = self.own_bucket(priority, writes);
+        own.refill(now);
+        match priority {
+            // Elections and renewals are never held back by what others have used up.
+            Priority::Leadership => 0,
+            _ => own.wait(amount).max(all),
+        }
+    }
+
     pub fn next_wake(&self) -> Option<u64> {
         self.wake
     }
--- a/crates/control/src/state/tests.rs
+++ b/crates/control/src/state/tests.rs
@@ -5,7 +5,7 @@
 /// At a limit that has fallen unannounced, bookkeeping and users would go on turning each other away.
 #[test]
 fn bookkeeping_takes_less_when_the_rate_limit_is_hit_and_more_again_later() {
-    let mut client = StateClient::new(100.0, 50.0);
+    let mut client = StateClient::new(100.0, 50.0, 3);
     let full = client.book_writes.rate;
     let txn = |client: &mut StateClient, at: u64, status: u16| {
         let op = StateOp::Txn(Txn {
@@ -30,3 +30,54 @@
     client.pump(&mut 1, &mut mail, &mut Vec::new());
     assert!((client.book_writes.rate - full).abs() < 1e-6);
 }
+
+fn read() -> StateOp {
+    StateOp::Get("j/run-1".into())
+}
+
+/// Calls that go out within a second, by the priority that they were pushed with, when far too many of some wait.
+fn sent_in_a_second(client: &mut StateClient, waiting: &[(Priority, StateOp)]) -> Vec<usize> {
+    let at = |mono| Now { mono, unix: mono };
+    for n in 0..500 {
+        for (i, (priority, op)) in waiting.iter().enumerate() {
+            let tag = StateTag::User(1_000 * i as u64 + n);
+            client.push(at(10_000), *priority, op.clone(), tag);
+        }
+    }
+    let mut next_call = 0;
+    for mono in (10_000..11_000).step_by(10) {
+        client.pump(&mut next_call, &mut Mail::new(at(mono)), &mut Vec::new());
+    }
+    let mut sent = vec![0; waiting.len()];
+    for (_, tag) in client.inflight.values() {
+        if let StateTag::User(number) = tag {
+            sent[*number as usize / 1_000] += 1;
+        }
+    }
+    sent
+}
+
+/// Questions and users' changes went before the books at one rate for all: the books got nothing of it.
+#[test]
+fn users_of_every_kind_together_leave_the_books_their_rate() {
+    let write = StateOp::Txn(Txn {
+        guards: vec![],
+        writes: vec![Write::delete("k")],
+    });
+    let waiting = [
+        (Priority::Change, write.clone()),
+        (Priority::ChangeRead, read()),
+        (Priority::Books, write),
+        (Priority::Proof, read()),
+        (Priority::Question, read()),
+    ];
+    for (rps, write_rps) in [(150.0, 50.0), (100.0, 25.0)] {
+        let mut client = StateClient::new(rps, write_rps, 3);
+        let sent = sent_in_a_second(&mut client, &waiting);
+        let books = write_rps * STATE_WRITE_SHARE;
+        assert!(sent[2] as f64 >= books, "{rps}: {sent:?}");
+        assert!(sent[0] as f64 >= write_rps * USER_WRITE_SHARE, "{sent:?}");
+        assert!(sent[1] > 0 && sent[3] > 0, "{sent:?}");
+        assert!((sent.iter().sum::<usize>() as f64) < rps, "{sent:?}");
+    }
+}
--- a/crates/control/src/upgrade.rs
+++ b/crates/control/src/upgrade.rs
@@ -75,7 +75,8 @@
 
     fn ask(&mut self, op: StateOp, mail: &mut Mail) {
         self.busy = true;
-        mail.state.push((Priority::User, op, StateTag::Upgrade));
+        mail.state
+            .push((Priority::Leadership, op, StateTag::Upgrade));
     }
 
     pub fn on_reply(&mut self, reply: StateReply, mail: &mut Mail) {
