Gateway: submissions and cancellations are counted apart from questions in hand

Cause: a node takes 256 requests of users in hand, whatever they are, and refuses the rest. A flood of questions filled them at every node, so that submissions and cancellations were refused each time they were tried.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -127,7 +127,7 @@
 pub const NEWS_MAX: usize = 1_500;
 /// Seconds a refused user is told to wait.
 pub const RETRY_AFTER_S: u32 = 1;
-/// Requests of users in hand at a time; more are refused at once.
+/// Questions of users in hand at a time, and as many submissions and cancellations; more are refused at once.
 pub const USER_INFLIGHT: usize = 256;
 /// Final answers kept in memory (an id and a letter each).
 pub const FINAL_CACHE: usize = 20_000;
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -93,6 +93,8 @@
     teams: Vec<Team>,
     types: Option<Vec<MachineType>>,
     tickets: HashMap<u64, Ticket>,
+    /// How many of them are submissions and cancellations.
+    changes: usize,
     next: u64,
     finals: Generations<Final>,
     /// Jobs whose cancellation is recorded, as this node or a peer has seen: that is final, so it may be answered at
@@ -120,6 +122,7 @@
             teams,
             types: None,
             tickets: HashMap::new(),
+            changes: 0,
             next: 0,
             finals: Generations::new(FINAL_CACHE),
             cancelled: Generations::new(FINAL_CACHE),
@@ -211,7 +214,14 @@
         if !up {
             return mail.refuse(request, 503, "the state service does not answer");
         }
-        if self.tickets.len() >= USER_INFLIGHT {
+        let changes = want.is_change();
+        // Counted apart: questions come in floods, and with one count for both they kept submissions and cancellations
+        // from being taken at all.
+        let in_hand = match changes {
+            true => self.changes,
+            false => self.tickets.len() - self.changes,
+        };
+        if in_hand >= USER_INFLIGHT {
             return mail.refuse(request, 503, "too many requests in hand");
         }
         self.next += 1;
@@ -238,6 +248,7 @@
             doomed: false,
         };
         self.tickets.insert(self.next, ticket);
+        self.changes += usize::from(changes);
         if proves {
             self.proving.push_back(self.next);
         } else if create && needs {
@@ -366,8 +377,15 @@
         mail.state.push((priority, op, StateTag::User(number)));
     }
 
+    /// A request is about to be answered.
+    fn close(&mut self, number: u64) -> Option<Ticket> {
+        let ticket = self.tickets.remove(&number)?;
+        self.changes -= usize::from(ticket.want.is_change());
+        Some(ticket)
+    }
+
     fn refuse(&mut self, number: u64, status: u16, why: &str, mail: &mut Mail) {
-        if let Some(ticket) = self.tickets.remove(&number) {
+        if let Some(ticket) = self.close(number) {
             mail.refuse(ticket.request, status, why);
         }
     }
@@ -386,7 +404,7 @@
         let late = mail.now.mono > ticket.since + USER_DEADLINE_MS;
         match (&ticket.stage, reply) {
             (Stage::Creating, StateReply::Committed { version }) => {
-                if let Some(t) = self.tickets.remove(&number) {
+                if let Some(t) = self.close(number) {
                     let took_ms = mail.now.mono.saturating_sub(t.since);
                     let needs = match t.want {
                         Want::Submit { spec: Some(s), .. } => s.needs,
@@ -413,7 +431,7 @@
                 }
             }
             (Stage::Aborting, StateReply::Committed { version }) => {
-                if let Some(t) = self.tickets.remove(&number) {
+                if let Some(t) = self.close(number) {
                     log::info!("event=job_aborted job={}", t.id);
                     self.remember_version(&t.id, version, true, &[]);
                     mail.news.push(News::Aborted(t.id.clone()));
@@ -464,7 +482,7 @@
             (Stage::Open, StateReply::Missing) => self.go(number, Stage::Final, mail),
             (Stage::Final, StateReply::Item(item)) => match item.value.deserialized::<Final>() {
                 Ok(end) => {
-                    if let Some(t) = self.tickets.remove(&number) {
+                    if let Some(t) = self.close(number) {
                         self.answer_final(t.request, &t.id, end, mail);
                         self.remember_final(t.id, end);
                     }
@@ -498,7 +516,7 @@
             // Whether a job before it is cancelled is to be seen.
             return self.start_proof(number, mail);
         }
-        let Some(t) = self.tickets.remove(&number) else {
+        let Some(t) = self.close(number) else {
             return;
         };
         if record.aborted {
--- a/crates/control/src/gateway/proofs.rs
+++ b/crates/control/src/gateway/proofs.rs
@@ -123,7 +123,7 @@
                         self.next_proof = now;
                         continue;
                     }
-                    if let Some(t) = self.tickets.remove(&number) {
+                    if let Some(t) = self.close(number) {
                         let aborted = self.known_version(&t.id).is_some_and(|v| v.aborted);
                         self.answer_open(t.request, &t.id, aborted, mail);
                     }
--- a/crates/control/src/gateway/walk.rs
+++ b/crates/control/src/gateway/walk.rs
@@ -191,7 +191,7 @@
                 None
             }
             Walk::Cancelled => {
-                let t = self.tickets.remove(&number)?;
+                let t = self.close(number)?;
                 match self.known_final(&id) {
                     Some(end) => self.answer_final(t.request, &id, end, mail),
                     None => self.answer_open(t.request, &id, true, mail),
