--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -60,6 +60,16 @@
 pub const STATE_DOWN_MS: u64 = 1_500;
 /// Share of the state service's request rate one node may use at most; nodes share the limit.
 pub const STATE_RPS_SHARE: f64 = 0.6;
+/// Share of the state service's request rate that all nodes together may spend on questions of users. What is left is
+/// for changes, the books, elections and watches.
+pub const QUESTION_SHARE: f64 = 0.5;
+/// Seconds' worth of its part of that that a node may spend at once.
+pub const QUESTION_BURST_S: f64 = 1.0;
+/// Share of the state service's request rate that all nodes together may spend on reading what submissions and
+/// cancellations need.
+pub const CHANGE_READ_SHARE: f64 = 0.2;
+/// Seconds' worth of its part of that that a node may spend at once: as for writes, what came up during an outage.
+pub const CHANGE_READ_BURST_S: f64 = 2.0;
 /// Share of the state service's write rate that bookkeeping may use, the rest being for users; it takes less when the
 /// rate limit is hit.
 pub const STATE_WRITE_SHARE: f64 = 0.75;
@@ -117,7 +127,7 @@
 pub const NEWS_MAX: usize = 1_500;
 /// Seconds a refused user is told to wait.
 pub const RETRY_AFTER_S: u32 = 1;
-/// Requests of users in hand at a time; more are refused at once.
+/// Questions of users in hand at a time, and as many submissions and cancellations; more are refused at once.
 pub const USER_INFLIGHT: usize = 256;
 /// Final answers kept in memory (an id and a letter each).
 pub const FINAL_CACHE: usize = 20_000;
--- a/crates/control/src/gateway/proofs.rs
+++ b/crates/control/src/gateway/proofs.rs
@@ -96,7 +96,7 @@
         self.proofs += 1;
         let number = self.proofs;
         mail.state
-            .push((Priority::User, op, StateTag::Proof(number)));
+            .push((Priority::Proof, op, StateTag::Proof(number)));
         self.proof = Some(Proof {
             number,
             keys,
@@ -123,7 +123,7 @@
                         self.next_proof = now;
                         continue;
                     }
-                    if let Some(t) = self.tickets.remove(&number) {
+                    if let Some(t) = self.close(number) {
                         let aborted = self.known_version(&t.id).is_some_and(|v| v.aborted);
                         self.answer_open(t.request, &t.id, aborted, mail);
                     }
