A node that reaches neither the state service nor a peer is not ready

After 4 s without either, `/ready` answers 503. In an outage for all, peers are heard and nobody is taken away; a node alone in its cluster stays ready. Seen failing without the guard: the operations test on `/ready` (200 for 503).

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -321,6 +321,9 @@
 pub const PEER_BEAT_MS: u64 = 500;
 /// Milliseconds after which a peer's last beat says nothing about now.
 pub const PEER_FRESH_MS: u64 = 2_000;
+/// Milliseconds without the state service and without any peer after which a node tells the load balancer that it is not
+/// ready: longer than a controller takes to restart, since being offered again takes seconds, too.
+pub const CUT_OFF_MS: u64 = 4_000;
 /// Milliseconds between tries to reach a peer.
 pub const PEER_RETRY_MS: u64 = 1_000;
 /// Bytes waiting to be sent to a peer at most; more closes the connection.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -196,6 +196,18 @@
         self.deliver(mail);
     }
 
+    /// Whether neither the state service nor a peer, through which users could be served, has been reached for a while.
+    ///
+    /// Such a node refuses every request, and was offered to users all the same: a third of them were refused until the
+    /// cut was over. In an outage of the state service peers are heard, and nobody is taken away.
+    fn is_cut_off(&self, now: u64) -> bool {
+        let Some(peer_heard) = self.peers.last_heard() else {
+            return false;
+        };
+        let last_contact = self.started.max(peer_heard).max(self.state.last_good());
+        !self.state.is_up(now) && now > last_contact + CUT_OFF_MS
+    }
+
     /// Moment up to which every cancellation that was confirmed to a user is known to the leader: by its own reading of
     /// the records, and beyond it as long as all peers tell of the cancellations that they confirm. A good answer of the
     /// state service to anything else proves nothing.
@@ -286,6 +298,9 @@
         } = request;
         let path = request.target.split('?').next().unwrap_or_default();
         match (method, path) {
+            ("GET", "/ready") if self.is_cut_off(mail.now.mono) => {
+                mail.refuse(id, 503, "neither the state service nor a peer is reached");
+            }
             ("GET", "/ready") => mail.respond(id, 200, Vec::new()),
             ("POST", REPORT_PATH) => self.on_report(id, body, mail),
             (_, "/ready" | REPORT_PATH) => mail.refuse(id, 405, "method not allowed"),
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -90,6 +90,11 @@
             .filter(move |(_, p)| p.at > 0 && now < p.at + PEER_FRESH_MS)
     }
 
+    /// Moment of the last heartbeat of any peer. Nothing where there are no peers.
+    pub fn last_heard(&self) -> Option<u64> {
+        self.known.values().map(|p| p.at).max()
+    }
+
     /// A peer that the state service answers.
     pub fn with_state(&self, now: u64) -> Option<&str> {
         self.fresh(now)
--- a/crates/control/tests/operations.rs
+++ b/crates/control/tests/operations.rs
@@ -84,3 +84,31 @@
     assert!(done(&mut w, "run-2", 60_000));
     clean(&w);
 }
+
+/// A node that could serve nobody went on telling the load balancer that it was ready.
+#[test]
+fn a_node_cut_off_from_state_service_and_peers_is_not_ready_and_an_outage_takes_nobody_away() {
+    let mut w = world(3, 2, 0.0);
+    let ready = |w: &mut fakes::World| -> Vec<u16> {
+        let ask = |node| w.ask(node, "GET", "/ready", vec![]).0;
+        (0..3).map(ask).collect()
+    };
+    let cut = w.leader().expect("leader");
+    w.refused.insert(cut);
+    w.run(8_000);
+    assert_eq!(ready(&mut w), [200; 3], "served through a peer");
+    w.silent_peers.insert(cut);
+    w.run(6_000);
+    let statuses = ready(&mut w);
+    assert_eq!(statuses[cut], 503);
+    assert_eq!(statuses.iter().filter(|s| **s == 200).count(), 2);
+    w.heal();
+    w.run(2_000);
+    assert_eq!(ready(&mut w), [200; 3]);
+    w.state_down = true;
+    w.run(20_000);
+    assert_eq!(ready(&mut w), [200; 3], "an outage for all");
+    w.state_down = false;
+    w.run(5_000);
+    clean(&w);
+}
