Tests: one way to build a cluster with teams of its own, shared by the files

The two-team cluster and the job of a team move from one test file to the common module, where the tests to come use them too.

--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)] // Each file of stories uses some of it.
 
 use fakes::{Behaviour, World};
-use vetchmount_control::settings::NextLimits;
+use vetchmount_control::settings::{NextLimits, Team};
 use vetchmount_control::Settings;
 use wire::records::*;
 use wire::users::{Phase, Submission};
@@ -57,7 +57,12 @@
 
 /// A world with a leader, machines that are known, and machine types that every node has read.
 pub fn world(nodes: usize, machines: usize, gpus_max: f64) -> World {
-    let mut w = World::new(nodes, |i| settings(i, nodes, gpus_max));
+    cluster(nodes, machines, |i| settings(i, nodes, gpus_max))
+}
+
+/// The same with settings of its own.
+pub fn cluster(nodes: usize, machines: usize, settings: impl Fn(usize) -> Settings) -> World {
+    let mut w = World::new(nodes, settings);
     for m in 0..machines {
         w.add_machine(&format!("vm-{m:06}"), if m % 2 == 0 { "a" } else { "b" });
     }
@@ -66,6 +71,24 @@
     w
 }
 
+/// A team without a guarantee that may use so many GPUs; 0 for no limit.
+pub fn team(name: &str, gpus_max: f64) -> Team {
+    Team {
+        name: name.into(),
+        cpus: 0.0,
+        cpus_max: 0.0,
+        gpus: 0.0,
+        gpus_max,
+    }
+}
+
+pub fn of_team(team: &str, job: Submission) -> Submission {
+    Submission {
+        team: team.into(),
+        ..job
+    }
+}
+
 pub fn runs(run_ms: u64) -> Behaviour {
     Behaviour {
         fetch_ms: 300,
--- a/crates/control/tests/troubles.rs
+++ b/crates/control/tests/troubles.rs
@@ -4,7 +4,6 @@
 
 use common::*;
 use fakes::{array, CopyTo, World};
-use vetchmount_control::settings::Team;
 use wire::users::{Phase, Submission};
 
 /// Asks every node about some jobs at every step for a while, and repeats a submission now and then.
@@ -92,31 +91,11 @@
 
 /// Two teams that may have two and three GPUs.
 fn limited(nodes: usize, machines: usize) -> World {
-    let mut w = World::new(nodes, |i| {
+    cluster(nodes, machines, |i| {
         let mut s = settings(i, nodes, 0.0);
-        let team = |name: &str, gpus_max: f64| Team {
-            name: name.into(),
-            cpus: 0.0,
-            cpus_max: 0.0,
-            gpus: 0.0,
-            gpus_max,
-        };
         s.deployment.teams = vec![team("t", 4.0), team("u", 3.0)];
         s
-    });
-    for m in 0..machines {
-        w.add_machine(&format!("vm-{m:06}"), if m % 2 == 0 { "a" } else { "b" });
-    }
-    assert!(w.until(6_000, |w| w.leader().is_some()), "a leader");
-    w.run(4_000);
-    w
-}
-
-fn of_team(id: &str, team: &str, tasks: u64) -> Submission {
-    Submission {
-        team: team.into(),
-        ..array(id, tasks)
-    }
+    })
 }
 
 #[test]
@@ -124,10 +103,13 @@
     for (cut, hang) in [(true, false), (false, true), (true, true)] {
         let mut w = limited(3, 6);
         for (id, team, tasks) in [("run-1", "t", 4), ("run-2", "u", 3)] {
-            assert_eq!(w.submit(0, &of_team(id, team, tasks), runs(60_000)), 201);
+            assert_eq!(
+                w.submit(0, &of_team(team, array(id, tasks)), runs(60_000)),
+                201
+            );
         }
         for (id, team) in [("run-3", "t"), ("run-4", "u")] {
-            assert_eq!(w.submit(1, &of_team(id, team, 12), runs(2_000)), 201);
+            assert_eq!(w.submit(1, &of_team(team, array(id, 12)), runs(2_000)), 201);
         }
         assert!(w.until(10_000, |w| w.on_machines("run-1").len() == 4));
         let old = w.leader().expect("leader");
@@ -252,8 +234,14 @@
         let mut w = limited(3, 5);
         w.seed(seed);
         w.troubles.late_reports = Some((1.0, CopyTo::NextLeader));
-        assert_eq!(w.submit(0, &of_team("run-1", "t", 4), runs(20_000)), 201);
-        assert_eq!(w.submit(0, &of_team("run-2", "u", 8), runs(1_000)), 201);
+        assert_eq!(
+            w.submit(0, &of_team("t", array("run-1", 4)), runs(20_000)),
+            201
+        );
+        assert_eq!(
+            w.submit(0, &of_team("u", array("run-2", 8)), runs(1_000)),
+            201
+        );
         w.run(1_500 + 300 * seed);
         let old = w.leader().expect("leader");
         // Some machines are cut off, so that nothing but the copy tells of them.
@@ -471,8 +459,14 @@
 #[test]
 fn leaders_change_ten_times_in_two_minutes_also_inside_an_outage() {
     let mut w = limited(3, 5);
-    assert_eq!(w.submit(0, &of_team("run-1", "t", 12), runs(9_000)), 201);
-    assert_eq!(w.submit(0, &of_team("run-2", "u", 9), runs(5_000)), 201);
+    assert_eq!(
+        w.submit(0, &of_team("t", array("run-1", 12)), runs(9_000)),
+        201
+    );
+    assert_eq!(
+        w.submit(0, &of_team("u", array("run-2", 9)), runs(5_000)),
+        201
+    );
     for n in 0..10 {
         w.run(5_000);
         w.state_down = n % 4 == 2;
@@ -488,8 +482,14 @@
 fn all_controllers_are_away_for_longer_than_a_lease() {
     for one_first in [false, true] {
         let mut w = limited(3, 4);
-        assert_eq!(w.submit(0, &of_team("run-1", "t", 6), runs(15_000)), 201);
-        assert_eq!(w.submit(0, &of_team("run-2", "u", 3), runs(600_000)), 201);
+        assert_eq!(
+            w.submit(0, &of_team("t", array("run-1", 6)), runs(15_000)),
+            201
+        );
+        assert_eq!(
+            w.submit(0, &of_team("u", array("run-2", 3)), runs(600_000)),
+            201
+        );
         w.run(5_000);
         assert_eq!(w.abort(0, "run-2"), Some(Phase::Aborted));
         (0..3).for_each(|n| w.crash(n));
@@ -508,7 +508,10 @@
 fn controllers_hand_over_and_back_all_end_and_one_returns_at_once() {
     for away in [10, 200, 900, 2_500] {
         let mut w = limited(3, 4);
-        assert_eq!(w.submit(0, &of_team("run-1", "t", 12), runs(4_000)), 201);
+        assert_eq!(
+            w.submit(0, &of_team("t", array("run-1", 12)), runs(4_000)),
+            201
+        );
         w.run(3_000);
         for _ in 0..3 {
             change_leader(&mut w, away);
@@ -529,8 +532,14 @@
     for seed in 0..6 {
         let mut w = limited(3, 4);
         w.seed(seed);
-        assert_eq!(w.submit(0, &of_team("run-1", "t", 4), runs(40_000)), 201);
-        assert_eq!(w.submit(0, &of_team("run-2", "u", 6), runs(4_000)), 201);
+        assert_eq!(
+            w.submit(0, &of_team("t", array("run-1", 4)), runs(40_000)),
+            201
+        );
+        assert_eq!(
+            w.submit(0, &of_team("u", array("run-2", 6)), runs(4_000)),
+            201
+        );
         w.run(1_500 + 400 * seed);
         let until = w.now + 7_000;
         for name in w.workers.keys().take(3) {
@@ -553,8 +562,14 @@
 fn a_zone_with_workers_and_a_controller_is_cut_off_for_longer_than_a_lease() {
     for leads_inside in [true, false] {
         let mut w = limited(3, 6);
-        assert_eq!(w.submit(0, &of_team("run-1", "t", 8), runs(20_000)), 201);
-        assert_eq!(w.submit(0, &of_team("run-2", "u", 3), runs(600_000)), 201);
+        assert_eq!(
+            w.submit(0, &of_team("t", array("run-1", 8)), runs(20_000)),
+            201
+        );
+        assert_eq!(
+            w.submit(0, &of_team("u", array("run-2", 3)), runs(600_000)),
+            201
+        );
         w.run(6_000);
         let leader = w.leader().expect("leader");
         let inside = if leads_inside {
@@ -601,8 +616,14 @@
 fn workers_reach_no_controller_while_direct_commands_reach_them() {
     for change in [false, true] {
         let mut w = limited(3, 4);
-        assert_eq!(w.submit(0, &of_team("run-1", "t", 4), runs(600_000)), 201);
-        assert_eq!(w.submit(0, &of_team("run-2", "u", 3), runs(8_000)), 201);
+        assert_eq!(
+            w.submit(0, &of_team("t", array("run-1", 4)), runs(600_000)),
+            201
+        );
+        assert_eq!(
+            w.submit(0, &of_team("u", array("run-2", 3)), runs(8_000)),
+            201
+        );
         w.run(6_000);
         for worker in w.workers.values_mut() {
             worker.mute = true;
@@ -829,7 +850,7 @@
     let mut w = limited(3, 4);
     let pairs = |id: &str, tasks: u64| Submission {
         gpus: 2.0,
-        ..of_team(id, "t", tasks)
+        ..of_team("t", array(id, tasks))
     };
     assert_eq!(w.submit(0, &pairs("run-1", 2), runs(60_000)), 201);
     assert!(w.until(8_000, |w| w.on_machines("run-1").len() == 2));
