Blame a machine for failed tasks only with proof that one of the jobs is sound

Cause: a machine counted as faulty once two jobs had failed on it. Jobs that fail everywhere are told apart only at their third machine, so a handful of them submitted at the same time had every machine blamed by two of them before any had been tried on a third one.

Now a machine is faulty when at least two jobs that have not failed elsewhere too have failed on it and one of them is known to be sound: done, or running elsewhere for 10 s. Without that proof it is only taken last. A cancelled job blames nothing.

Ruled out: a larger number of jobs, since only the burst would have to be larger; a time limit alone, since pauses of failing gangs grow to a minute before they have been tried elsewhere.

The fakes' failing tasks now run for their time and then exit with `error`; machines can be faulty.

--- /dev/null
+++ b/crates/control/src/leader/blame.rs
@@ -0,0 +1,61 @@
+//! Who is to blame for failed tasks: the machine on which they failed, or the job that was submitted with a mistake.
+
+use super::books::*;
+use super::*;
+
+/// What the failed tasks of a machine say about it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Verdict {
+    /// Nothing.
+    Trusted,
+    /// Jobs failed there that have not been tried elsewhere yet: other machines go first.
+    Suspect,
+    /// It gets no more work and is given back.
+    Faulty,
+}
+
+impl Leader {
+    /// Whether a job does not fail everywhere: it is done, or one of its tasks has completed or has been running on
+    /// another machine for a while. Cancelled jobs prove nothing and are taken out of the machines' lists.
+    fn is_sound_beside(&self, id: &str, machine: &str, now: u64) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return true;
+        };
+        let runs_on = |p: &Place| {
+            let since = p.running_since;
+            p.machine != machine && since.is_some_and(|at| now >= at + SOUND_RUN_MS)
+        };
+        job.done > 0 || job.places().any(|(_, p)| runs_on(p))
+    }
+
+    /// What failed tasks say of a machine. Jobs that have failed elsewhere as well and are not known to be sound say
+    /// nothing. Without the proof of a sound job, a few jobs that fail everywhere, submitted at the same time, had each
+    /// machine taken for faulty before any of them had been tried on a third one, and the whole fleet given back.
+    pub(super) fn verdict(&self, name: &str, m: &Machine, now: u64) -> Verdict {
+        if m.failed_jobs.len() < FAULTY_JOBS {
+            return Verdict::Trusted;
+        }
+        let is_sound = |id: &&String| self.is_sound_beside(id, name, now);
+        let fails_only_here = |id: &&String| {
+            let job = self.jobs.get(*id);
+            job.is_none_or(|j| j.fail_machines.iter().all(|other| other == name))
+        };
+        let blames = |id: &&String| is_sound(id) || fails_only_here(id);
+        if m.failed_jobs.iter().filter(blames).count() < FAULTY_JOBS {
+            Verdict::Trusted
+        } else if m.failed_jobs.iter().any(|id| is_sound(&id)) {
+            Verdict::Faulty
+        } else {
+            Verdict::Suspect
+        }
+    }
+
+    /// A job that was cancelled says nothing about the machines on which it failed.
+    pub(super) fn forget_failures(&mut self, id: &str, job: &Job) {
+        for name in &job.fail_machines {
+            if let Some(m) = self.machines.get_mut(name) {
+                m.failed_jobs.remove(id);
+            }
+        }
+    }
+}
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -1,6 +1,7 @@
 //! Machines: renting, adopting, giving back. Every rental is recorded before it is asked for; a return sent twice
 //! changes nothing and needs no record.
 
+use super::blame::Verdict;
 use super::books::*;
 use super::thrift::CONSOLIDATED;
 use super::*;
@@ -202,7 +203,7 @@
                 Some("under notice and empty")
             } else if empty && m.draining == Some(CONSOLIDATED) {
                 Some(CONSOLIDATED)
-            } else if empty && m.failed_jobs.len() >= FAULTY_JOBS {
+            } else if empty && self.verdict(name, m, now) == Verdict::Faulty {
                 Some("faulty")
             } else if empty
                 && m.doubted
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -4,6 +4,7 @@
 //! nothing leaves the node (`launch`, `reap`, `done`, a rental) before its record is known to be safe. Machines have
 //! no records: their workers, the cloud's list and recent rental requests name them.
 
+mod blame;
 mod books;
 mod fleet;
 mod pages;
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -1,5 +1,6 @@
 //! From the books to the scheduler's view, and from its decisions to places and stops.
 
+use super::blame::Verdict;
 use super::books::*;
 use super::*;
 use sched::{
@@ -91,7 +92,7 @@
     }
 
     /// Whether tasks may be sent to a machine.
-    pub(super) fn usable(&self, m: &Machine, now: u64) -> bool {
+    pub(super) fn usable(&self, m: &Machine, verdict: Verdict, now: u64) -> bool {
         let silent_ms = self.silent_ms();
         m.known
             && m.synced
@@ -100,7 +101,7 @@
             && m.notice_at.is_none()
             && !m.failed
             && !m.returning
-            && m.failed_jobs.len() < FAULTY_JOBS
+            && verdict != Verdict::Faulty
             && m.last_report.is_some_and(|at| now <= at + silent_ms)
     }
 
@@ -139,6 +140,7 @@
                 gpus: t.gpus,
                 mem: t.mem_gb,
             };
+            let verdict = self.verdict(name, m, now.mono);
             index.insert(name, machines.len());
             machines.push(name.clone());
             view.machines.push(MachineView {
@@ -148,10 +150,10 @@
                 free: total,
                 soon: total,
                 total,
-                usable: self.usable(m, now.mono),
+                usable: self.usable(m, verdict, now.mono),
                 slots: TASKS_PER_MACHINE.saturating_sub(m.places.len() as u32),
                 pilots: 0,
-                slow: m.is_slow(),
+                slow: m.is_slow() || verdict == Verdict::Suspect,
                 images: m.images.keys().map(|i| images.number(i)).collect(),
                 busy_s: 0.0,
                 reach_s: if m.held {
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -536,6 +536,9 @@
             }
         }
         self.leave_pages(id, &job);
+        if end == Final::Aborted {
+            self.forget_failures(id, &job);
+        }
         self.plan_due = true;
         for need in &job.needs {
             self.unfollow(need, id);
--- a/crates/fakes/src/state.rs
+++ b/crates/fakes/src/state.rs
@@ -49,6 +49,8 @@
     pub watches: Vec<Watch>,
     /// Puts and deletes so far.
     pub writes: u64,
+    /// Bytes of the values put so far, as JSON.
+    pub bytes_written: usize,
     /// Requests so far.
     pub requests: u64,
 }
@@ -286,6 +288,7 @@
         for write in txn.writes {
             match write {
                 Write::Put { key, value, lease } => {
+                    self.bytes_written += wire::json_bytes(&value);
                     self.log.push(Change {
                         put: Some(key.clone()),
                         value: Some(value.clone()),
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -38,7 +38,7 @@
     pub save_ms: u64,
     /// Size of its gang, 0 for arrays.
     pub gang: u32,
-    /// Whether it fails at once.
+    /// Whether it ends with `error` when its run time is over, on every machine.
     pub fails: bool,
 }
 
@@ -86,6 +86,8 @@
     pub images: BTreeSet<String>,
     /// Attempts started on this machine, in order.
     pub started: Vec<(String, u64)>,
+    /// Every task ends with `error` here as soon as it has its image.
+    pub faulty: bool,
 }
 
 impl FakeWorker {
@@ -113,6 +115,7 @@
             only: None,
             images: BTreeSet::new(),
             started: Vec::new(),
+            faulty: false,
         }
     }
 
@@ -302,7 +305,7 @@
                 TaskPhase::Fetching if now >= t.next_at => {
                     changed = true;
                     self.images.insert(job_of(name).to_string());
-                    if b.fails {
+                    if self.faulty {
                         end(t, Cause::Error);
                     } else if has_result(name) {
                         end(t, Cause::Done);
@@ -324,6 +327,10 @@
                         end(t, Cause::Alone);
                     }
                 }
+                TaskPhase::Running if b.fails && now >= t.next_at => {
+                    changed = true;
+                    end(t, Cause::Error);
+                }
                 TaskPhase::Running if !whole => {
                     let since = *t.alone_since.get_or_insert(now);
                     if now >= since + peer_ms {
