Try one task of an array that has failed on several machines, until one runs on

Cause: the pause between attempts was bounded, what was started after it was not. An array submitted with a mistake filled all free room again each minute: in the new test (400 tasks, eight machines) 24 starts a minute for ever. Now an array that has failed on three machines, with nothing completed since, gets one task at a time until a task of it completes or has been running for 10 s.

Bounds held by the test over seven minutes, for a single task, an array of 400 tasks and a gang of three: pauses grow from 4 s to 60 s; 9 starts of the single task at most, one wave and 12 more of the array, 24 of the gang; afterwards one task of the array at a time and two starts a minute at most; 16 changes in the state service in two minutes for all three together. Small work of both teams is done within 9 s all the while, no failed task is a sample, no machine is given back, and a cancelled job is gone within 4 s.

Ruled out: stopping and renting nothing for such jobs; one that failed on three faulty machines while nothing else is up would never be tried again.

--- a/crates/control/src/leader/blame.rs
+++ b/crates/control/src/leader/blame.rs
@@ -15,17 +15,11 @@
 }
 
 impl Leader {
-    /// Whether a job does not fail everywhere: it is done, or one of its tasks has completed or has been running on
-    /// another machine for a while. Cancelled jobs prove nothing and are taken out of the machines' lists.
+    /// Whether a job does not fail everywhere: it is done, or has tasks that run on another machine. Cancelled jobs
+    /// prove nothing and are taken out of the machines' lists.
     fn is_sound_beside(&self, id: &str, machine: &str, now: u64) -> bool {
-        let Some(job) = self.jobs.get(id) else {
-            return true;
-        };
-        let runs_on = |p: &Place| {
-            let since = p.running_since;
-            p.machine != machine && since.is_some_and(|at| now >= at + SOUND_RUN_MS)
-        };
-        job.done > 0 || job.places().any(|(_, p)| runs_on(p))
+        let job = self.jobs.get(id);
+        job.is_none_or(|j| j.is_sound(now, |p| p.machine != machine))
     }
 
     /// What failed tasks say of a machine. Jobs that have failed elsewhere as well and are not known to be sound say
--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -439,6 +439,20 @@
         idle && age_s % (2 * constants::GANG_TRY_S) >= constants::GANG_TRY_S
     }
 
+    /// Whether one of its tasks has completed, or has been running for a while at one of the places that count.
+    pub fn is_sound(&self, now: u64, counts: impl Fn(&Place) -> bool) -> bool {
+        let runs_on = |p: &Place| {
+            let since = p.running_since;
+            since.is_some_and(|at| now >= at + constants::SOUND_RUN_MS)
+        };
+        self.done > 0 || self.places().any(|(_, p)| counts(p) && runs_on(p))
+    }
+
+    /// Whether it has failed on so many machines that it most likely fails on all of them.
+    pub fn seems_to_fail_everywhere(&self) -> bool {
+        self.fail_machines.len() > constants::FAULTY_JOBS
+    }
+
     /// Whether it is over and may be filed away.
     pub fn final_due(&self) -> Option<Final> {
         // A user who was told "cancelled" must never hear "done", even if every task completes meanwhile.
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -243,7 +243,7 @@
                 && job.pause_until <= now.mono
                 && job.strays.is_empty();
             let waiting = if open {
-                self.waiting_tasks(job)
+                self.waiting_tasks(job, now.mono)
             } else {
                 Vec::new()
             };
@@ -306,7 +306,7 @@
                     let urgent = latest.is_some_and(|latest| soon >= latest);
                     urgent || !begun && age_s > AGED_S
                 },
-                avoid: if job.fail_machines.len() > FAULTY_JOBS {
+                avoid: if job.seems_to_fail_everywhere() {
                     Vec::new()
                 } else {
                     job.fail_machines
@@ -326,7 +326,7 @@
     }
 
     /// Tasks without a place, as many as one round can use.
-    fn waiting_tasks(&self, job: &Job) -> Vec<u32> {
+    fn waiting_tasks(&self, job: &Job, now: u64) -> Vec<u32> {
         if job.is_gang() {
             let halfway = job.placed > 0;
             let unsure = job
@@ -336,8 +336,15 @@
                 return Vec::new();
             }
         }
-        // No more than what could be placed on an empty fleet, with a margin.
-        let most = if job.is_gang() { usize::MAX } else { 256 };
+        // A wide array submitted with a mistake filled all free room again after each pause: until one of its tasks
+        // runs on, a single one is tried.
+        let on_trial = job.seems_to_fail_everywhere() && !job.is_sound(now, |_| true);
+        let most = match (job.is_gang(), on_trial) {
+            (true, _) => usize::MAX,
+            (false, true) => usize::from(job.placed == 0),
+            // No more than what could be placed on an empty fleet, with a margin.
+            (false, false) => 256,
+        };
         let mut out = Vec::new();
         let mut next = 0;
         while out.len() < most {
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -422,7 +422,7 @@
                 job.pause_until = now.mono + pause.min(ERROR_PAUSE_MAX_MS);
                 job.fail_machines.insert(machine.to_string());
                 // A job that fails on one machine after the other blames no machine.
-                let suspect = job.fail_machines.len() <= FAULTY_JOBS;
+                let suspect = !job.seems_to_fail_everywhere();
                 if let (Some(m), true) = (self.machines.get_mut(machine), suspect) {
                     m.failed_jobs.insert(id.to_string());
                 }
--- a/crates/control/tests/failing_jobs.rs
+++ b/crates/control/tests/failing_jobs.rs
@@ -4,7 +4,8 @@
 mod common;
 
 use common::*;
-use fakes::{array, Behaviour, World};
+use fakes::{array, gang, Behaviour, World};
+use wire::users::{Phase, Submission};
 
 const MACHINES: usize = 8;
 const GPUS: usize = MACHINES * 4;
@@ -29,12 +30,27 @@
     }
 }
 
+/// Starts of tasks of a job so far, on the machines that are there.
+fn starts(w: &World, job: &str) -> usize {
+    let started = w.workers.values().flat_map(|m| m.started.iter());
+    started
+        .filter(|(task, _)| task.split('/').next() == Some(job))
+        .count()
+}
+
 /// Machines of the beginning that were given back meanwhile; the cloud lets others take their place.
 fn given_back(w: &World) -> Vec<String> {
     let names = (0..MACHINES).map(|m| format!("vm-{m:06}"));
     names.filter(|m| !w.workers.contains_key(m)).collect()
 }
 
+/// Changes in the state service while time passes.
+fn changes(w: &mut World, ms: u64) -> u64 {
+    let before = w.state.writes;
+    w.run(ms);
+    w.state.writes - before
+}
+
 /// Runs one task on each GPU of the cluster that is not busy: every machine is there and is given work.
 fn assert_all_machines_are_used(w: &mut World, id: &str, busy: usize) {
     assert_eq!(given_back(w), Vec::<String>::new());
@@ -45,6 +61,76 @@
     assert!(done(w, id, 60_000));
 }
 
+#[test]
+fn failing_jobs_of_each_shape_back_off_and_leave_room_to_others() {
+    let mut w = two_teams(1);
+    let ids = ["run-1", "run-2", "run-3"];
+    let shape = Behaviour {
+        gang: 3,
+        ..failing()
+    };
+    // Expected to run long: taken for samples, the failed tasks would make them the smallest of all.
+    let long = |job: Submission| Submission {
+        guess_s: 2_000.0,
+        ..job
+    };
+    assert_eq!(w.submit(0, &long(array("run-1", 1)), failing()), 201);
+    assert_eq!(w.submit(0, &long(array("run-2", 400)), failing()), 201);
+    assert_eq!(w.submit(0, &long(gang("run-3", 3)), shape), 201);
+    let mut most_on_machines = 0;
+    for minute in 0..5 {
+        let array_before = starts(&w, "run-2");
+        for second in 0..60 {
+            if second % 10 == 0 {
+                // Small work of both teams is done within seconds all the while.
+                let team = ["t", "u"][second / 10 % 2];
+                let id = format!("run-{}", 100 + 10 * minute + second / 10);
+                let job = of_team(team, array(&id, 2));
+                assert_eq!(w.submit(0, &job, runs(1_000)), 201);
+                assert!(done(&mut w, &id, 9_000), "minute {minute}, second {second}");
+            }
+            w.run(1_000);
+            if minute > 0 {
+                most_on_machines = most_on_machines.max(w.on_machines("run-2").len());
+            }
+        }
+        if minute > 0 {
+            let fresh = starts(&w, "run-2") - array_before;
+            assert!(fresh <= 2, "{fresh} starts in minute {minute}");
+        }
+    }
+    assert!(most_on_machines <= 1, "one task at a time is tried");
+    // Pauses of 4, 8, 16, 32 and then 60 s.
+    let [one, wide, whole] = ids.map(|id| starts(&w, id));
+    assert!((6..=9).contains(&one), "{one} starts of the single task");
+    assert!((GPUS / 2..=GPUS + 12).contains(&wide), "{wide} starts");
+    assert!((9..=24).contains(&whole), "{whole} starts of the gang");
+    let with_them = changes(&mut w, 120_000);
+    let [one, wide, whole] = ids.map(|id| starts(&w, id));
+    for id in ids {
+        let timed: u32 = parts(&w)
+            .iter()
+            .filter(|e| e.job == id)
+            .map(|e| e.chunk.timed)
+            .sum();
+        assert_eq!(timed, 0, "no failed task of {id} is a sample");
+    }
+    assert_all_machines_are_used(&mut w, "run-50", 0);
+    for id in ids {
+        assert_eq!(w.abort(0, id), Some(Phase::Aborted));
+    }
+    let gone = |w: &mut World| ids.iter().all(|id| w.on_machines(id).is_empty());
+    assert!(w.until(4_000, gone), "gone at once");
+    w.run(5_000);
+    let without = changes(&mut w, 120_000);
+    // Two attempts of each, and a change for its places before and after.
+    let theirs = with_them.saturating_sub(without);
+    assert!(theirs <= 16, "{theirs} changes in two minutes");
+    let after = ids.map(|id| starts(&w, id));
+    assert_eq!(after, [one, wide, whole], "never started again");
+    clean(&w);
+}
+
 /// Each machine had failed two of the jobs before any of them had failed on a third machine, and all were taken for
 /// faulty and given back.
 #[test]
