--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -1,5 +1,6 @@
 //! From the books to the scheduler's view, and from its decisions to places and stops.
 
+use super::blame::Verdict;
 use super::books::*;
 use super::*;
 use sched::{
@@ -91,7 +92,7 @@
     }
 
     /// Whether tasks may be sent to a machine.
-    pub(super) fn usable(&self, m: &Machine, now: u64) -> bool {
+    pub(super) fn usable(&self, m: &Machine, verdict: Verdict, now: u64) -> bool {
         let silent_ms = self.silent_ms();
         m.known
             && m.synced
@@ -100,7 +101,7 @@
             && m.notice_at.is_none()
             && !m.failed
             && !m.returning
-            && m.failed_jobs.len() < FAULTY_JOBS
+            && verdict != Verdict::Faulty
             && m.last_report.is_some_and(|at| now <= at + silent_ms)
     }
 
@@ -139,6 +140,7 @@
                 gpus: t.gpus,
                 mem: t.mem_gb,
             };
+            let verdict = self.verdict(name, m, now.mono);
             index.insert(name, machines.len());
             machines.push(name.clone());
             view.machines.push(MachineView {
@@ -148,10 +150,10 @@
                 free: total,
                 soon: total,
                 total,
-                usable: self.usable(m, now.mono),
+                usable: self.usable(m, verdict, now.mono),
                 slots: TASKS_PER_MACHINE.saturating_sub(m.places.len() as u32),
                 pilots: 0,
-                slow: m.is_slow(),
+                slow: m.is_slow() || verdict == Verdict::Suspect,
                 images: m.images.keys().map(|i| images.number(i)).collect(),
                 busy_s: 0.0,
                 reach_s: if m.held {
@@ -241,7 +243,7 @@
                 && job.pause_until <= now.mono
                 && job.strays.is_empty();
             let waiting = if open {
-                self.waiting_tasks(job)
+                self.waiting_tasks(job, now.mono)
             } else {
                 Vec::new()
             };
@@ -304,7 +306,7 @@
                     let urgent = latest.is_some_and(|latest| soon >= latest);
                     urgent || !begun && age_s > AGED_S
                 },
-                avoid: if job.fail_machines.len() > FAULTY_JOBS {
+                avoid: if job.seems_to_fail_everywhere() {
                     Vec::new()
                 } else {
                     job.fail_machines
@@ -324,7 +326,7 @@
     }
 
     /// Tasks without a place, as many as one round can use.
-    fn waiting_tasks(&self, job: &Job) -> Vec<u32> {
+    fn waiting_tasks(&self, job: &Job, now: u64) -> Vec<u32> {
         if job.is_gang() {
             let halfway = job.placed > 0;
             let unsure = job
@@ -334,8 +336,15 @@
                 return Vec::new();
             }
         }
-        // No more than what could be placed on an empty fleet, with a margin.
-        let most = if job.is_gang() { usize::MAX } else { 256 };
+        // A wide array submitted with a mistake filled all free room again after each pause: until one of its tasks
+        // runs on, a single one is tried.
+        let on_trial = job.seems_to_fail_everywhere() && !job.is_sound(now, |_| true);
+        let most = match (job.is_gang(), on_trial) {
+            (true, _) => usize::MAX,
+            (false, true) => usize::from(job.placed == 0),
+            // No more than what could be placed on an empty fleet, with a margin.
+            (false, false) => 256,
+        };
         let mut out = Vec::new();
         let mut next = 0;
         while out.len() < most {
