control: heartbeats, notices to peers and the reading of machine types leave node.rs

`Heartbeat` owns what a node tells its peers from time to time: its state, the cancellations it has confirmed, the leader's open jobs and jobs that have ended; the numbering that tells processes of one node apart is explained in one place. `MachineTypesReader` owns when the recorded machine types are read.

Only form has changed.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,15 +2,18 @@
 //!
 //! [`Node`] is the whole of one controller. It is fed [`Input`]s and the time, and yields [`Output`]s. Inside,
 //! the state client, the election, the gateway for users, the upgrade, the leader's books and the cloud client each
-//! own what they know; `mail::Mail` carries what they say to each other.
+//! own what they know; `mail::Mail` carries what they say to each other. What a node does besides for its peers and for
+//! workers is in modules of their own too: `forwarding`, `pending_reports`, `heartbeat`, `leadership_watch`.
 
 mod cloud;
 mod election;
 mod forwarding;
 mod gateway;
 mod generations;
+mod heartbeat;
 mod leader;
 mod leadership_watch;
+mod machine_types;
 pub mod mail;
 mod node;
 mod peers;
--- /dev/null
+++ b/crates/control/src/machine_types.rs
@@ -0,0 +1,42 @@
+//! Reading the machine types that a leader has recorded, for nodes that have not seen any yet.
+
+use crate::mail::{Mail, News, StateTag};
+use crate::state::{Priority, StateOp, StateReply};
+use constants::LEADER_POLL_MS;
+use wire::records::TYPES;
+
+/// Reads the record of machine types until it has been found.
+pub(crate) struct MachineTypesReader {
+    next_read: u64,
+    reading: bool,
+}
+
+impl MachineTypesReader {
+    pub fn new(now: u64) -> Self {
+        MachineTypesReader {
+            next_read: now,
+            reading: false,
+        }
+    }
+
+    /// Sends a read if one is due and the types are not known.
+    pub fn tick(&mut self, types_known: bool, mail: &mut Mail) {
+        if types_known || self.reading || mail.now.mono < self.next_read {
+            return;
+        }
+        self.reading = true;
+        let read = StateOp::Get(TYPES.into());
+        mail.state.push((Priority::User, read, StateTag::Types));
+    }
+
+    /// Tells the node what was read.
+    pub fn on_reply(&mut self, reply: StateReply, mail: &mut Mail) {
+        self.reading = false;
+        self.next_read = mail.now.mono + LEADER_POLL_MS;
+        if let StateReply::Item(item) = reply {
+            if let Ok(types) = item.value.deserialized() {
+                mail.news.push(News::Types(types));
+            }
+        }
+    }
+}
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -4,18 +4,20 @@
 use crate::election::Election;
 use crate::forwarding::{ForwardedRequests, HttpRequest, REPORT_PATH};
 use crate::gateway::Gateway;
+use crate::heartbeat::{process_base, Heartbeat};
 use crate::leader::{direct_call, Heard, Leader};
 use crate::leadership_watch::{LeaderProbe, LeadershipWatch};
+use crate::machine_types::MachineTypesReader;
 use crate::mail::*;
 use crate::peers::{PeerState, Peers};
 use crate::pending_reports::{HeldAnswers, LeaderStatus, PendingReports};
 use crate::settings::{Operator, Settings};
-use crate::state::{Priority, StateClient, StateOp, StateReply};
+use crate::state::{StateClient, StateReply};
 use crate::upgrade::Upgrade;
 use constants::*;
 use std::collections::VecDeque;
-use wire::peers::{JobNews, PeerMessage};
-use wire::records::{Final, TYPES};
+use wire::peers::PeerMessage;
+use wire::records::Final;
 use wire::workers::{Elsewhere, Report};
 
 /// One controller.
@@ -34,22 +36,10 @@
     leadership_watch: LeadershipWatch,
     leader_probe: LeaderProbe,
     peers: Peers,
-    /// Number of this process, and cancellations it has confirmed.
-    boot: u64,
-    /// Added to the clock in beats, and to the numbers of forwarded requests, so that what a peer echoes or answers of
-    /// an earlier process of ours is told apart.
-    process_base: u64,
-    aborts: u64,
+    heartbeat: Heartbeat,
     next_call: CallId,
     out: VecDeque<Output>,
-    started: u64,
-    next_beat: u64,
-    next_types: u64,
-    types_busy: bool,
-    last_worker: Option<u64>,
-    /// Jobs filed away since the last beat, to be told to peers.
-    over: Vec<(String, bool)>,
-    next_counts: u64,
+    machine_types: MachineTypesReader,
     forwarded: ForwardedRequests,
     last_now: Now,
 }
@@ -57,11 +47,6 @@
 /// Milliseconds until a node whose gateway is busy wakes up at the latest.
 const GATEWAY_WAKE_MS: u64 = 200;
 
-/// Where the numbers of a process begin that its peers give back to it.
-fn process_base(boot: u64) -> u64 {
-    (boot << 32) >> 1
-}
-
 impl Node {
     /// A node that has just started. `boot` is drawn at random for each start; `stopwatch` measures rounds.
     pub fn new(
@@ -90,19 +75,10 @@
                 settings.siblings.iter().map(|s| s.label.clone()),
                 process_base(boot),
             ),
-            boot,
-            // 31 bits stay free, of milliseconds three weeks.
-            process_base: process_base(boot),
-            aborts: 0,
+            heartbeat: Heartbeat::new(boot, now.mono),
             next_call: 0,
             out: VecDeque::new(),
-            started: now.mono,
-            next_beat: now.mono,
-            next_types: now.mono,
-            types_busy: false,
-            last_worker: None,
-            over: Vec::new(),
-            next_counts: 0,
+            machine_types: MachineTypesReader::new(now.mono),
             forwarded: ForwardedRequests::new(process_base(boot)),
             last_now: now,
             operator,
@@ -127,7 +103,7 @@
         let leader_is_ready = self.leader.as_ref().is_some_and(Leader::is_ready);
         let wakes = [
             Some(self.election.next_wake()),
-            Some(self.next_beat),
+            Some(self.heartbeat.next_wake()),
             self.leader.as_ref().map(|l| l.next_wake(self.active(now))),
             self.state.next_wake(),
             self.cloud.next_wake(),
@@ -180,15 +156,16 @@
             leader.tick(active, &mut mail);
         }
         self.watch_leadership(&mut mail);
-        if !self.gateway.knows_types() && !self.types_busy && now.mono >= self.next_types {
-            self.types_busy = true;
-            mail.state
-                .push((Priority::User, StateOp::Get(TYPES.into()), StateTag::Types));
-        }
-        if now.mono >= self.next_beat {
-            self.next_beat = now.mono + PEER_BEAT_MS;
-            self.beat(&mut mail);
-        }
+        let types_known = self.gateway.knows_types();
+        self.machine_types.tick(types_known, &mut mail);
+        self.heartbeat.tick(
+            &self.election,
+            &self.state,
+            &self.peers,
+            self.leader.as_ref(),
+            &mut self.gateway,
+            &mut mail,
+        );
         self.forwarded.tick(&mut mail);
         self.deliver(mail);
     }
@@ -230,53 +207,6 @@
         }
     }
 
-    fn beat(&mut self, mail: &mut Mail) {
-        let now = mail.now.mono;
-        let ago = |at: u64| now.saturating_sub(at);
-        let state_ago_ms = match self.state.last_good() {
-            0 => ago(self.started),
-            at => ago(at),
-        };
-        let echoes: Vec<(String, u64)> = self
-            .peers
-            .echoes()
-            .map(|(l, sent)| (l.clone(), sent))
-            .collect();
-        for (label, echo) in echoes {
-            mail.out.push(Output::Peer {
-                to: Some(label),
-                message: PeerMessage::Beat {
-                    term: self.election.highest_term(),
-                    state_ago_ms,
-                    leads: self.election.leads().is_some(),
-                    worker_ago_ms: self.last_worker.map(ago),
-                    sent: self.process_base + now,
-                    echo,
-                    boot: self.boot,
-                    aborts: self.aborts,
-                },
-            });
-        }
-        let leader = self.leader.as_ref().filter(|l| l.is_ready());
-        if let Some(leader) = leader.filter(|_| now >= self.next_counts) {
-            self.next_counts = now + COUNTS_MS;
-            let jobs: Vec<JobNews> = leader.news().take(NEWS_MAX).collect();
-            self.gateway.hear(&jobs);
-            let term = leader.term;
-            mail.out.push(Output::Peer {
-                to: None,
-                message: PeerMessage::Counts { term, jobs },
-            });
-        }
-        if !self.over.is_empty() {
-            let jobs = std::mem::take(&mut self.over);
-            mail.out.push(Output::Peer {
-                to: None,
-                message: PeerMessage::Over { jobs },
-            });
-        }
-    }
-
     fn on_request(&mut self, request: HttpRequest, mail: &mut Mail) {
         let HttpRequest {
             id, method, body, ..
@@ -304,7 +234,7 @@
     fn on_report(&mut self, id: RequestId, body: &[u8], mail: &mut Mail) {
         let now = mail.now.mono;
         if !ForwardedRequests::is_from_peer(id) {
-            self.last_worker = Some(now);
+            self.heartbeat.on_worker_report(now);
         }
         let report: Report = match wire::decode(body) {
             Ok(report) => report,
@@ -423,15 +353,7 @@
             StateTag::User(number) => self.gateway.on_reply(number, reply, mail),
             StateTag::Proof(number) => self.gateway.on_proof(number, reply, mail),
             StateTag::Upgrade => self.upgrade.on_reply(reply, mail),
-            StateTag::Types => {
-                self.types_busy = false;
-                self.next_types = mail.now.mono + LEADER_POLL_MS;
-                if let StateReply::Item(item) = reply {
-                    if let Ok(types) = item.value.deserialized() {
-                        mail.news.push(News::Types(types));
-                    }
-                }
-            }
+            StateTag::Types => self.machine_types.on_reply(reply, mail),
             StateTag::Leader(term, ask) => {
                 if let Some(leader) = self.leader.as_mut().filter(|l| l.term == term) {
                     leader.on_state(ask, reply, mail);
@@ -591,18 +513,13 @@
                 self.election.fenced(mail);
             }
             News::Aborted(job) => {
-                self.aborts += 1;
                 if let Some(leader) = &mut self.leader {
                     leader.abort_told(&job, mail.now);
                 }
-                let number = self.aborts;
-                // Goes out before the user's answer, and before the next beat counts it.
-                self.out.push_back(Output::Peer {
-                    to: None,
-                    message: PeerMessage::Aborted { number, job },
-                });
+                // Ahead of all that is still to be sent, the user's answer included.
+                self.out.push_back(self.heartbeat.on_cancellation(job));
             }
-            News::JobOver(job, end) => self.over.push((job, end == Final::Done)),
+            News::JobOver(job, end) => self.heartbeat.on_job_ended(job, end),
             News::Proven(why) => self.upgrade.proven(why, mail),
             News::Upgraded => {
                 let least = self.settings.deployment.state.least();
