sched: the round is split by subject, with named costs and whole names

A newcomer finds why a machine was chosen, reserved or emptied in one short file each.

Only form has changed; the crate's interface is as before.

--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -78,11 +78,7 @@
     }
     let wants = |j: &&JobView| !j.waiting.is_empty() && !j.resting;
     let waiting = || view.jobs.iter().filter(wants);
-    let Some(least) = waiting().map(|j| j.task).reduce(|a, b| Res {
-        cpus: a.cpus.min(b.cpus),
-        gpus: a.gpus.min(b.gpus),
-        mem: a.mem.min(b.mem),
-    }) else {
+    let Some(least) = waiting().map(|j| j.task).reduce(|a, b| a.min(&b)) else {
         return Vec::new();
     };
     // Room that running tasks leave before a new machine could be up is as good as the new machine.
--- /dev/null
+++ b/crates/sched/src/round/limits.rs
@@ -0,0 +1,64 @@
+//! What of a team's limit is left to a gang that waits for it.
+//!
+//! Small tasks that rank behind a gang would keep its team at the limit, and the gang out for ever. So one gang a team at
+//! a time has a claim: what it needs of the limit is not given to tasks behind it.
+
+use super::Round;
+use crate::{Res, TeamView};
+
+/// A gang that is left what it needs of its team's limit.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LimitClaim {
+    gang: usize,
+    demand: Res,
+}
+
+impl Round<'_> {
+    /// Claims for gangs that wait for their team's limit alone. A gang larger than its team's guarantee ranks behind all
+    /// that fits into it, and would never get in.
+    pub(super) fn claim_limits(&mut self) {
+        let jobs = 0..self.view.jobs.len();
+        let mut gangs: Vec<usize> = jobs.filter(|&job| self.waits_for_limit(job)).collect();
+        gangs.sort_by(|a, b| self.compare_in_team(*a, *b));
+        for gang in gangs {
+            self.claim_limit(gang);
+        }
+    }
+
+    fn waits_for_limit(&self, job: usize) -> bool {
+        let view = &self.view.jobs[job];
+        view.gang
+            && self.tasks_left(job) > 0
+            && !self.view.teams[view.team].allows(&self.demand(job))
+    }
+
+    /// A claim for a job that may have one, if its team has none yet. Not if what runs on for long, other gangs mostly,
+    /// keeps it out in any case.
+    pub(super) fn claim_limit(&mut self, job: usize) {
+        let view = &self.view.jobs[job];
+        let demand = self.demand(job);
+        let limit = self.view.teams[view.team].limit;
+        let possible = TeamView::within(limit, true, &self.long_running[view.team], &demand);
+        let may_claim = view.gang && view.claims && !view.resting;
+        if may_claim && possible && self.limit_claims[view.team].is_none() {
+            self.limit_claims[view.team] = Some(LimitClaim { gang: job, demand });
+        }
+    }
+
+    /// What of its team's limit is claimed by a gang that goes before this job: only of what the job takes itself, or a
+    /// task without GPUs would wait for those of a gang.
+    pub(super) fn claimed_ahead_of(&self, job: usize) -> Res {
+        let view = &self.view.jobs[job];
+        let is_ahead = |gang: usize| gang != job && self.compare_in_team(gang, job).is_lt();
+        let claim = self.limit_claims[view.team].filter(|claim| is_ahead(claim.gang));
+        let Some(LimitClaim { demand, .. }) = claim else {
+            return Res::default();
+        };
+        let if_taken = |claimed: f64, takes: f64| if takes > 0.0 { claimed } else { 0.0 };
+        Res {
+            cpus: if_taken(demand.cpus, view.task.cpus),
+            gpus: if_taken(demand.gpus, view.task.gpus),
+            mem: 0.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/round/placement.rs
@@ -0,0 +1,121 @@
+//! Which machines a task may go to, and which suits it best.
+
+use super::Round;
+use crate::{MachineView, UNKNOWN_ZONE};
+use constants::{COMING_S, FRAGILE_COST, REACH_COST};
+
+/// Cost of each pilot that already runs on a machine, for another one.
+const PILOT_COST: f64 = 1000.0;
+/// Cost of a machine that is slower than its kin.
+const SLOW_COST: f64 = 400.0;
+/// Cost of a machine that does not hold the image.
+const FETCH_COST: f64 = 100.0;
+/// Cost of an ordinary machine for work that may run on spot ones: room that gangs and other work bound to ordinary
+/// machines can use is given last.
+const ORDINARY_COST: f64 = 40.0;
+
+impl Round<'_> {
+    /// Whether a machine has room for the smallest of the waiting tasks.
+    pub(super) fn can_take_task(&self, machine: usize) -> bool {
+        let view = &self.view.machines[machine];
+        view.usable && view.slots > 0 && view.free.fits(&self.smallest_task)
+    }
+
+    /// Whether tasks of the job may go to the machine, if there is room.
+    pub(super) fn is_allowed(&self, job: usize, machine: usize) -> bool {
+        self.view.machines[machine].usable && self.meets_constraints(job, machine)
+    }
+
+    /// Whether tasks of the job may go to the machine now or within moments.
+    pub(super) fn is_allowed_soon(&self, job: usize, machine: usize) -> bool {
+        let view = &self.view.machines[machine];
+        let usable_soon = view.usable || view.coming_s.is_some_and(|s| s <= COMING_S);
+        usable_soon && self.meets_constraints(job, machine)
+    }
+
+    fn meets_constraints(&self, job: usize, machine: usize) -> bool {
+        let (j, m) = (&self.view.jobs[job], &self.view.machines[machine]);
+        m.slots > 0
+            && (j.spot || !m.spot)
+            && j.zone.is_none_or(|zone| zone == m.zone)
+            && j.kinds.as_ref().is_none_or(|kinds| kinds.contains(&m.kind))
+            && !j.avoid.contains(&machine)
+            && m.total.fits(&j.task)
+    }
+
+    /// How many more tasks of the job the zone may hold.
+    pub(super) fn zone_capacity(&self, job: usize, zone: usize) -> u32 {
+        let view = &self.view.jobs[job];
+        let is_elsewhere = |(used, tasks): &(usize, u32)| *used != zone && *tasks > 0;
+        if view.one_zone && view.zones_used.iter().any(is_elsewhere) {
+            return 0;
+        }
+        let Some(cap) = view.zone_cap else {
+            return u32::MAX;
+        };
+        // What is in a zone that nobody knows yet may be in this one.
+        let may_be_here = |used: usize| used == zone || used == UNKNOWN_ZONE;
+        let here = view
+            .zones_used
+            .iter()
+            .filter(|(used, _)| may_be_here(*used));
+        cap.saturating_sub(here.map(|(_, tasks)| tasks).sum())
+    }
+
+    /// Whether the machine is not reserved for another job.
+    pub(super) fn is_available(&self, job: usize, machine: usize) -> bool {
+        self.reserved_for[machine].is_none_or(|holder| holder == job)
+    }
+
+    /// What it costs to place a task of the job on the machine.
+    pub(super) fn placement_cost(&self, job: usize, machine: usize, pilot: bool) -> f64 {
+        let (j, m) = (&self.view.jobs[job], &self.view.machines[machine]);
+        let mut cost = 0.0;
+        if pilot {
+            cost += PILOT_COST * f64::from(m.pilots);
+        }
+        if m.slow {
+            cost += SLOW_COST;
+        }
+        if !m.images.contains(&j.image) {
+            cost += FETCH_COST;
+        }
+        if j.fragile {
+            cost += fragile_cost(m);
+        } else if j.spot && !m.spot {
+            cost += ORDINARY_COST;
+        }
+        cost += REACH_COST * m.reach_s;
+        let mut rest = m.free;
+        rest.sub(&j.task);
+        cost + rest.weight().max(0.0)
+    }
+
+    /// The machine that suits the next task of the job best, of those with room.
+    pub(super) fn best_machine(&self, job: usize, pilot: bool) -> Option<usize> {
+        let task = &self.view.jobs[job].task;
+        let has_room = |&machine: &usize| {
+            let view = &self.view.machines[machine];
+            view.free.fits(task)
+                && self.is_allowed(job, machine)
+                && self.is_available(job, machine)
+                && self.zone_capacity(job, view.zone) > 0
+        };
+        let machines = self.open_machines.iter().copied().filter(has_room);
+        machines
+            .map(|machine| (self.placement_cost(job, machine, pilot), machine))
+            .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
+            .map(|(_, machine)| machine)
+    }
+}
+
+/// What it costs to place a task that never saves: all is lost with a spot machine, and an idle machine of ours may go
+/// back, unless something runs there.
+fn fragile_cost(machine: &MachineView) -> f64 {
+    let idle = machine.total.gpus > 0.0 && machine.free.gpus >= machine.total.gpus;
+    match (machine.spot, idle) {
+        (true, _) => FRAGILE_COST,
+        (false, true) => 2.0 * FRAGILE_COST,
+        (false, false) => 0.0,
+    }
+}
--- a/crates/sched/src/round/tests.rs
+++ b/crates/sched/src/round/tests.rs
@@ -1,6 +1,7 @@
 //! Small views, and what a round makes of them.
 
 use super::*;
+use crate::{JobView, MachineView, RunningView, TeamView, UNKNOWN_ZONE};
 
 fn machine(zone: usize, gpus: f64) -> MachineView {
     let total = Res {
