Node: what is due is done though input comes at every moment

Cause: a node asked to be woken one millisecond after its last input at the earliest, and the main loop looks whether it is due with the moment at which that input was handled. With input in every turn, as in a flood, it was never due: no renewal of the leader's lease, no round, no beat, no deadline for what is undecided.

Ruled out: the state service's rate (its counters stood still altogether), and lost answers.

Seen failing without it: a_node_with_input_at_every_moment_still_does_what_is_due, a question a step at each node for 8 s: a job that takes 1 s was not done.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -71,6 +71,7 @@
     next_forward: u64,
     next_serving: RequestId,
     last_now: Now,
+    last_tick: u64,
 }
 
 /// Numbers of requests forwarded by peers, apart from those of our own sockets.
@@ -132,6 +133,7 @@
             next_forward: process_base(boot),
             next_serving: PEER_REQUESTS,
             last_now: now,
+            last_tick: 0,
             operator,
             stopwatch,
             settings,
@@ -169,7 +171,9 @@
         }
         at = at.min(self.gateway.next_wake());
         at = at.min(self.upgrade.next_wake());
-        at.max(self.last_now.mono + 1)
+        // Not later than what is due because of an input just now: under a flood there is one at every moment, and
+        // renewals, rounds and deadlines would never come.
+        at.max(self.last_tick + 1)
     }
 
     /// Something happened.
@@ -193,6 +197,7 @@
     /// Time passed.
     pub fn tick(&mut self, now: Now) {
         self.last_now = now;
+        self.last_tick = now.mono;
         let mut mail = Mail::new(now);
         self.election.tick(&mut mail);
         self.gateway.tick(&mut mail);
--- a/crates/control/tests/question_floods.rs
+++ b/crates/control/tests/question_floods.rs
@@ -256,3 +256,22 @@
     );
     clean(&w);
 }
+
+/// What was due waited for a moment without any input: the leader's lease was not renewed, and nothing was started.
+#[test]
+fn a_node_with_input_at_every_moment_still_does_what_is_due() {
+    let mut w = world(3, 2, 0.0);
+    let leader = w.leader().expect("leader");
+    let term = w.term_of(leader);
+    assert_eq!(w.submit(leader, &array("run-1", 2), runs(1_000)), 201);
+    for _ in 0..800 {
+        for node in 0..3 {
+            w.send(node, "GET", "/submissions/run-1", vec![]);
+        }
+        w.run(10);
+    }
+    assert_eq!((w.leader(), w.term_of(leader)), (Some(leader), term));
+    let end = w.state.read::<Final>(&final_key("run-1"));
+    assert_eq!(end, Some(Final::Done), "started and ended meanwhile");
+    clean(&w);
+}
