--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -42,6 +42,7 @@
     machine_types: MachineTypesReader,
     forwarded: ForwardedRequests,
     last_now: Now,
+    last_tick: u64,
 }
 
 /// Milliseconds until a node whose gateway is busy wakes up at the latest.
@@ -81,6 +82,7 @@
             machine_types: MachineTypesReader::new(now.mono),
             forwarded: ForwardedRequests::new(process_base(boot)),
             last_now: now,
+            last_tick: 0,
             operator,
             stopwatch,
             settings,
@@ -115,7 +117,10 @@
             self.held_answers.next_wake(),
         ];
         let earliest = wakes.into_iter().flatten().min();
-        earliest.map_or(now + 1, |at| at.max(now + 1))
+        // Bounded by the last tick, not the last input: under a flood there is an input at every moment, and renewals,
+        // rounds and deadlines would never come.
+        let soonest = self.last_tick + 1;
+        earliest.map_or(soonest, |at| at.max(soonest))
     }
 
     /// Something happened.
@@ -147,6 +152,7 @@
     /// Time passed.
     pub fn tick(&mut self, now: Now) {
         self.last_now = now;
+        self.last_tick = now.mono;
         let mut mail = Mail::new(now);
         self.election.tick(&mut mail);
         self.gateway.tick(&mut mail);
