A node that stood still takes nothing from its backlog for news

Cause: inputs that waited for a frozen process are handled one by one, with the present time but without what comes behind them. A leader whose lease still held after 1.5 to 2.6 s released a start by the first reply of its backlog, while the notice that the job had been cancelled meanwhile was further back: the start went out 0.9 to 1.3 s after the user had been told. A follower dated the answer to a look at the leader key by its arrival, and sent workers to a leader of 20 s ago. Users who had given up, or were about to, got readings from before the freeze.

Now a gap of more than 1 s between two looks at the clock (a node is woken every 0.5 s) counts as a standstill: the lease holds again only by a renewal sent since, followers and candidates drop replies asked for before, and users in hand, forwarded ones included, get 503.

Ruled out as faults, each seen to fail without its guard: answers that keep leases alive (`may_answer`), the watch dated by its sending, peers' beats dated by the echoed clock (tasks of a cancelled job then stay beyond `cancel_s`, in replies_that_waited_vouch_for_nothing_later_than_their_sending).

That replies to old renewals are ignored is not seen in the simulated cluster, since held answers leave before it matters; election/tests.rs looks at it directly.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -309,6 +309,9 @@
 pub const COUNTS_MS: u64 = 1_000;
 /// Milliseconds between beats to each peer.
 pub const PEER_BEAT_MS: u64 = 500;
+/// Milliseconds between two looks at the clock that prove that a node did not run: it is woken for every beat, and even
+/// the longest turns of a busy leader take a fraction of the rest.
+pub const STANDSTILL_MS: u64 = 2 * PEER_BEAT_MS;
 /// Milliseconds after which a peer's last beat says nothing about now.
 pub const PEER_FRESH_MS: u64 = 2_000;
 /// Milliseconds between tries to reach a peer.
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -53,6 +53,8 @@
     /// Term of the last leader whose lease was ended for it.
     ended_term: u64,
     highest_term: u64,
+    /// When this process went on after it had stood still; 0 if it never did.
+    resumed_at: u64,
     rng: fastrand::Rng,
 }
 
@@ -71,6 +73,7 @@
             known_lease: None,
             ended_term: 0,
             highest_term: 0,
+            resumed_at: 0,
             rng: fastrand::Rng::with_seed(boot),
         }
     }
@@ -88,6 +91,20 @@
         matches!(self.role, Role::Leader { renewed, .. } if now < renewed + LEADER_LEASE_MS - 300)
     }
 
+    /// The process stood still until now. Replies that waited tell what was true when they were sent: a former leader
+    /// would be taken for the present one, and a lease that may be over for our own. So the leader key is looked at, or
+    /// the lease renewed, anew.
+    pub fn stood_still(&mut self, now: u64) {
+        self.resumed_at = now;
+        self.next_at = now;
+        self.busy_until = 0;
+        match &mut self.role {
+            Role::Leader { renewed, .. } => *renewed = 0,
+            // A candidate that was elected meanwhile finds itself under the key.
+            _ => self.round += 1,
+        }
+    }
+
     pub fn highest_term(&self) -> u64 {
         self.highest_term
     }
@@ -232,6 +249,8 @@
             return;
         }
         match reply {
+            // Nothing from before a standstill makes the lease hold again.
+            StateReply::Renewed if sent < self.resumed_at => {}
             StateReply::Renewed => *renewed = (*renewed).max(sent),
             StateReply::NoLease => self.step_down("the lease ran out", mail),
             _ => {}
@@ -403,3 +422,6 @@
         self.tick(mail);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/control/src/election/tests.rs
@@ -0,0 +1,43 @@
+use super::*;
+use crate::mail::Now;
+
+fn mail(mono: u64) -> Mail {
+    Mail::new(Now { mono, unix: mono })
+}
+
+/// A node that has just been elected and has sent its first renewal.
+fn elected(at: u64) -> Election {
+    let mut election = Election::new("n0", 7);
+    let mut mail = mail(at);
+    election.tick(&mut mail);
+    let round = election.round;
+    election.on_reply(Step::Poll(round), StateReply::Missing, &mut mail);
+    election.on_reply(Step::Term(round), StateReply::Missing, &mut mail);
+    election.on_reply(Step::Grant(round), StateReply::Granted(1), &mut mail);
+    let committed = StateReply::Committed { version: 1 };
+    election.on_reply(Step::Run(round), committed, &mut mail);
+    assert_eq!(election.leads(), Some(1));
+    election
+}
+
+/// Its reply waited while the process stood still, and the job of a start that it would release may be cancelled by now.
+#[test]
+fn a_renewal_sent_before_a_standstill_does_not_make_the_lease_hold_after_it() {
+    let (sent, resumed) = (10_000, 12_000);
+    let mut election = elected(sent);
+    let renewed = |election: &mut Election, sent: u64| {
+        election.on_reply(
+            Step::Renew(1, sent),
+            StateReply::Renewed,
+            &mut mail(resumed),
+        );
+    };
+    renewed(&mut election, sent);
+    assert!(election.lease_holds(resumed));
+    election.stood_still(resumed);
+    assert!(!election.lease_holds(resumed));
+    renewed(&mut election, sent);
+    assert!(!election.lease_holds(resumed), "sent before it");
+    renewed(&mut election, resumed);
+    assert!(election.lease_holds(resumed), "sent after it");
+}
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -548,6 +548,13 @@
         self.prove(mail);
     }
 
+    /// Turns away everybody who waits for an answer.
+    pub fn refuse_all(&mut self, why: &str, mail: &mut Mail) {
+        for (_, ticket) in self.tickets.drain() {
+            mail.refuse(ticket.request, 503, why);
+        }
+    }
+
     pub fn is_idle(&self) -> bool {
         self.tickets.is_empty()
     }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,5 +1,7 @@
 //! One controller: routes what comes in to its actors, and what they say to each other.
 
+mod standstill;
+
 use crate::cloud::CloudClient;
 use crate::election::Election;
 use crate::gateway::Gateway;
@@ -174,8 +176,8 @@
 
     /// Something happened.
     pub fn handle(&mut self, now: Now, input: Input) {
-        self.last_now = now;
         let mut mail = Mail::new(now);
+        self.note_time(now, &mut mail);
         match input {
             Input::Request {
                 id,
@@ -192,8 +194,8 @@
 
     /// Time passed.
     pub fn tick(&mut self, now: Now) {
-        self.last_now = now;
         let mut mail = Mail::new(now);
+        self.note_time(now, &mut mail);
         self.election.tick(&mut mail);
         self.gateway.tick(&mut mail);
         self.upgrade.tick(&mut mail);
