A leader that stood still in an outage gives no machine back for silence

Cause: a machine counts as silent from its last report here, and reports that waited for a frozen leader, or went to other nodes, count for nothing. A leader frozen for 65 s of an outage of the state service keeps its lease, since leases get their full time again, and on waking it returned its whole fleet at once and rented anew. Silence now counts from when the process went on.

Ruled out: the lapse of workers' leases frees their tasks rightly, they have run out; an awake leader goes on hearing reports during an outage, with its peers cut off too (both in the test, which pass without the guard).

Seen failing without the guard: a_leader_that_stood_still_in_an_outage_gives_no_machine_back_for_silence, frozen and with no worker reaching the leader as it wakes (six machines gone, six new ones rented). A machine that is gone is still given back within a minute.

--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -177,7 +177,9 @@
                 continue;
             }
             let empty = m.places.is_empty() && m.strays.is_empty();
-            let heard = m.last_report.unwrap_or(0).max(self.ready_at);
+            // A leader that stood still for a minute of an outage, and still leads, would give its whole fleet back.
+            let listening = self.ready_at.max(self.resumed_at);
+            let heard = m.last_report.unwrap_or(0).max(listening);
             let quiet = now.saturating_sub(heard);
             let why = if m.failed {
                 Some("failed")
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -144,6 +144,8 @@
     load_retry_at: u64,
     since: u64,
     ready_at: u64,
+    /// When this process last went on after it had stood still: silence up to then says nothing of a machine.
+    resumed_at: u64,
     jobs: BTreeMap<String, Job>,
     machines: BTreeMap<String, Machine>,
     /// Machines that are certainly gone, with the time that was learnt.
@@ -236,6 +238,7 @@
             load_retry_at: 0,
             since: now.mono,
             ready_at: 0,
+            resumed_at: 0,
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             gone: HashMap::new(),
@@ -763,6 +766,11 @@
         })
     }
 
+    /// The process stood still until now, and reports waited unread.
+    pub fn stood_still(&mut self, now: u64) {
+        self.resumed_at = now;
+    }
+
     /// Whether workers that report here have all fallen silent.
     pub fn hears_nobody(&self, now: u64) -> bool {
         let known = self.machines.values().filter(|m| m.synced && !m.failed);
--- a/crates/control/src/node/standstill.rs
+++ b/crates/control/src/node/standstill.rs
@@ -18,6 +18,9 @@
         }
         log::info!("event=stood_still stood_ms={stood_ms}");
         self.election.stood_still(now.mono);
+        if let Some(leader) = &mut self.leader {
+            leader.stood_still(now.mono);
+        }
         self.gateway.refuse_all("this node stood still", mail);
         for (_, forwarded) in self.forwards.drain() {
             mail.refuse(forwarded.request, 503, "this node stood still");
--- a/crates/control/tests/node_wakeup.rs
+++ b/crates/control/tests/node_wakeup.rs
@@ -38,6 +38,11 @@
     }
 }
 
+/// Machines that are up, by name.
+fn machine_names(w: &World) -> Vec<String> {
+    w.workers.keys().cloned().collect()
+}
+
 /// The freeze begins while the leader records the place of a task and a worker's report waits for it, so that on waking
 /// the commit comes first and the notice of the cancellation, confirmed meanwhile, after it.
 #[test]
@@ -203,6 +208,48 @@
     }
 }
 
+/// A leader stands still for most of an outage and still leads after it. Nobody has heard of its machines since: all of
+/// them were given back at once.
+#[test]
+fn a_leader_that_stood_still_in_an_outage_gives_no_machine_back_for_silence() {
+    // Awake, with and without its peers; frozen, with and without workers that reach it as it wakes.
+    for (freeze_ms, peers_cut, workers_cut) in [
+        (0, false, false),
+        (0, true, false),
+        (65_000, false, false),
+        (65_000, false, true),
+    ] {
+        let mut w = world(3, 6, 0.0);
+        w.capacity = 6;
+        let leader = w.leader().expect("leader");
+        assert_eq!(w.submit(leader, &array("run-1", 24), runs(LONG_MS)), 201);
+        assert!(w.until(8_000, |w| w.on_machines("run-1").len() == 24));
+        let before = machine_names(&w);
+        w.state_down = true;
+        freeze(&mut w, leader, freeze_ms);
+        if peers_cut {
+            w.silent_peers.insert(leader);
+        }
+        if workers_cut {
+            w.deaf.insert(leader);
+        }
+        w.run(64_500);
+        w.state_down = false;
+        w.run(3_500);
+        w.silent_peers.clear();
+        w.deaf.clear();
+        w.run(20_000);
+        let at = format!("{freeze_ms} ms, {peers_cut} {workers_cut}");
+        assert_eq!(machine_names(&w), before, "{at}");
+        assert!(w.until(20_000, |w| w.on_machines("run-1").len() == 24));
+        // A machine that is gone is told from the others as ever.
+        let gone = w.workers.get_mut("vm-000000").expect("worker");
+        gone.cut_until = u64::MAX;
+        assert!(w.until(60_000, |w| !w.workers.contains_key("vm-000000")));
+        clean(&w);
+    }
+}
+
 /// Each leader stands still as soon as it has been elected, the next one a little later, while jobs are submitted,
 /// cancelled and completed through whoever is awake.
 #[test]
