--- a/crates/control/src/forwarding.rs
+++ b/crates/control/src/forwarding.rs
@@ -87,6 +87,13 @@
         }
     }
 
+    /// Refuses everything that peers have not answered yet.
+    pub fn refuse_all(&mut self, reason: &str, mail: &mut Mail) {
+        for (_, pending) in self.pending.drain() {
+            mail.refuse(pending.request, 503, reason);
+        }
+    }
+
     /// Passes a request of ours to a peer.
     pub fn forward(&mut self, request: HttpRequest, peer: String, mail: &mut Mail) {
         if self.pending.len() >= USER_INFLIGHT {
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -577,6 +577,14 @@
         self.prove(mail);
     }
 
+    /// Turns away everybody who waits for an answer.
+    pub fn refuse_all(&mut self, why: &str, mail: &mut Mail) {
+        for (_, ticket) in self.tickets.drain() {
+            mail.refuse(ticket.request, 503, why);
+        }
+        self.changes = 0;
+    }
+
     pub fn is_idle(&self) -> bool {
         self.tickets.is_empty()
     }
