Test one-sided cuts of one node, in the simulated cluster

The simulated cluster could lose requests to the state service, but not its answers, nor those of a node to workers or users, nor refuse workers' connections. One-way cuts between peers are `lost_frames` as before.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use rules::{Jobs, Placed, Question, Rules};
 pub use state::{FakeLimits, FakeState};
-pub use troubles::{CopyTo, Troubles, LATE_REPORT_MS, LATE_TXN_MS};
+pub use troubles::{CopyTo, Cut, Party, Troubles, LATE_REPORT_MS, LATE_TXN_MS};
 pub use worker::{Behaviour, FakeTask, FakeWorker, Gang};
 
 use control::{CallError, Input, Node, Now, Operator, Output, Settings, Target};
@@ -380,8 +380,12 @@
         if self.state_down {
             return;
         }
-        let (refused, cut) = (&self.refused, &self.troubles.cut_from_state);
-        let silent = |node: usize| refused.contains(&node) || cut.contains(&node);
+        let (refused, troubles) = (&self.refused, &self.troubles);
+        let cuts = [Cut::Requests, Cut::Answers, Cut::Refused];
+        let silent = |node: usize| {
+            let cut = cuts.iter().any(|c| troubles.is_cut(node, Party::State, *c));
+            refused.contains(&node) || troubles.cut_from_state.contains(&node) || cut
+        };
         for ((node, call), body) in self.state.ripe_watches(self.now, silent) {
             let life = self.nodes[node].life;
             let result = Ok((200, body));
@@ -445,9 +449,11 @@
                 Output::Respond {
                     id, status, body, ..
                 } => match self.reporters.remove(&id) {
+                    Some(_) if self.troubles.is_cut(i, Party::Workers, Cut::Answers) => {}
                     Some((worker, seq)) => {
                         self.push(at, Event::Answer(worker, seq, status, body));
                     }
+                    None if self.troubles.is_cut(i, Party::Users, Cut::Answers) => {}
                     None => self.respond(id, status, body),
                 },
                 Output::Call {
@@ -480,6 +486,7 @@
                     Target::Cloud => {
                         self.push(at, Event::ToCloud(i, life, call, method, path, body));
                     }
+                    Target::Worker(_) if self.troubles.is_cut(i, Party::Workers, Cut::Answers) => {}
                     Target::Worker(addr) => {
                         let name = addr.split(':').next().unwrap_or_default().to_string();
                         self.push(at, Event::ToWorker(i, name, body));
@@ -548,7 +555,7 @@
             if self.state_down {
                 return self.push(self.now + 1_000, Event::ToState(call));
             }
-            if call.path != "/changes" {
+            if !call.path.starts_with("/changes") {
                 let waiter = (usize::MAX, 0);
                 self.state
                     .serve(self.now, waiter, call.method, &call.path, &call.body);
@@ -566,11 +573,18 @@
             }
             _ => None,
         };
-        let result = if self.troubles.cut_from_state.contains(&i) {
+        let is_cut = |cut| self.troubles.is_cut(i, Party::State, cut);
+        let (refuses, answers_lost) = (is_cut(Cut::Refused), is_cut(Cut::Answers));
+        let result = if self.troubles.cut_from_state.contains(&i) || is_cut(Cut::Requests) {
             at = deadline;
             Some(Err(CallError::Unknown))
-        } else if self.state_down || self.refused.contains(&i) {
+        } else if self.state_down || self.refused.contains(&i) || refuses {
             Some(Ok((503, vec![])))
+        } else if answers_lost {
+            at = deadline;
+            let call = StateCall { from: None, ..call };
+            self.serve_state(call);
+            Some(Err(CallError::Unknown))
         } else if let Some((ms, told_at)) = late {
             // Executed later, long after the sender has given up.
             let call = StateCall { from: None, ..call };
@@ -703,6 +717,7 @@
             }
         }
         let mut reports = Vec::new();
+        let troubles = &self.troubles;
         let mut completed = Vec::new();
         let stuck = self.stuck_workers;
         let nodes = self.nodes.len();
@@ -733,7 +748,14 @@
                 let report = w.report(KIND, now);
                 w.in_flight = Some((now, w.seq));
                 w.report_at = now + report_ms;
-                let deaf = self.deaf.contains(&w.node) || w.mute;
+                if troubles.is_cut(w.node, Party::Workers, Cut::Refused) {
+                    w.in_flight = None;
+                    w.node = (w.node + 1) % nodes;
+                    w.report_at = now + 1_000;
+                    continue;
+                }
+                let cut = troubles.is_cut(w.node, Party::Workers, Cut::Requests);
+                let deaf = self.deaf.contains(&w.node) || w.mute || cut;
                 let only = |n: Option<usize>| n.is_none_or(|n| n == w.node);
                 if now >= w.cut_until && !deaf && only(stuck) && only(w.only) {
                     reports.push((w.name.clone(), w.node, w.seq, report));
--- a/crates/fakes/src/troubles.rs
+++ b/crates/fakes/src/troubles.rs
@@ -20,6 +20,28 @@
     NextLeader,
 }
 
+/// Who is at the other end of a controller's connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Party {
+    /// The state service, which the controller asks.
+    State,
+    /// Workers, which report to the controller and get commands.
+    Workers,
+    /// Users, who ask the controller.
+    Users,
+}
+
+/// In which way a connection between two parties fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Cut {
+    /// Requests are lost: nobody executes them.
+    Requests,
+    /// Requests arrive and are executed, and their answers are lost.
+    Answers,
+    /// Requests are refused at once: connections by the controller, or with 503 by the state service.
+    Refused,
+}
+
 /// Troubles of the state service, the network and the controllers. Shares are between 0 and 1.
 #[derive(Debug, Clone, Default)]
 pub struct Troubles {
@@ -39,6 +61,8 @@
     pub late_reports: Option<(f64, CopyTo)>,
     /// Direct commands and answers to these machines are held until then, and delivered in order.
     pub held_commands: BTreeMap<String, u64>,
+    /// One-sided cuts between a controller and a party. Commands sent to workers directly go with their answers.
+    pub cuts: BTreeSet<(usize, Party, Cut)>,
     /// Controllers that get neither input nor ticks until then, and go on with their backlog.
     pub frozen: BTreeMap<usize, u64>,
 }
@@ -49,6 +73,11 @@
         self.frozen.get(&node).copied().filter(|until| now < *until)
     }
 
+    /// Whether a connection of a node fails in this way.
+    pub(crate) fn is_cut(&self, node: usize, party: Party, cut: Cut) -> bool {
+        self.cuts.contains(&(node, party, cut))
+    }
+
     /// Whether frames from one node to another are lost.
     pub(crate) fn loses_frame(&self, from: usize, to: usize, now: u64) -> bool {
         let until = self.lost_frames.get(&(from, to));
--- a/crates/fakes/src/users.rs
+++ b/crates/fakes/src/users.rs
@@ -1,6 +1,6 @@
 //! Users: what they ask, and what they hear.
 
-use crate::{Behaviour, Event, Question, World, DELAY};
+use crate::{Behaviour, Cut, Event, Party, Question, World, DELAY};
 use control::Input;
 use std::collections::BTreeSet;
 use wire::users::*;
@@ -39,7 +39,15 @@
             }
             _ => None,
         };
-        let id = self.request(node, method, target, body);
+        let lost = [Cut::Requests, Cut::Refused]
+            .iter()
+            .any(|cut| self.troubles.is_cut(node, Party::Users, *cut));
+        let id = if lost {
+            self.next_request += 1;
+            self.next_request
+        } else {
+            self.request(node, method, target, body)
+        };
         if let Some((question, job)) = question {
             self.rules.sent(id, question, &job, self.now);
             self.broken.append(&mut self.rules.broken);
