--- a/crates/control/src/heartbeat.rs
+++ b/crates/control/src/heartbeat.rs
@@ -9,8 +9,8 @@
 use crate::mail::{Mail, Output};
 use crate::peers::Peers;
 use crate::state::StateClient;
-use constants::{COUNTS_MS, NEWS_MAX, PEER_BEAT_MS};
-use wire::peers::{JobNews, PeerMessage};
+use constants::{COUNTS_MS, PEER_BEAT_MS};
+use wire::peers::PeerMessage;
 use wire::records::Final;
 
 /// Where the numbers of a process begin that its peers give back to it, so that what a peer echoes or answers of an
@@ -87,7 +87,7 @@
         election: &Election,
         state: &StateClient,
         peers: &Peers,
-        leader: Option<&Leader>,
+        leader: Option<&mut Leader>,
         gateway: &mut Gateway,
         mail: &mut Mail,
     ) {
@@ -148,8 +148,8 @@
 }
 
 /// Tells all gateways, ours included, which jobs are open.
-fn send_open_jobs(leader: &Leader, gateway: &mut Gateway, mail: &mut Mail) {
-    let jobs: Vec<JobNews> = leader.news().take(NEWS_MAX).collect();
+fn send_open_jobs(leader: &mut Leader, gateway: &mut Gateway, mail: &mut Mail) {
+    let jobs = leader.next_news();
     gateway.hear(&jobs);
     let term = leader.term;
     mail.out.push(Output::Peer {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -170,7 +170,7 @@
             &self.election,
             &self.state,
             &self.peers,
-            self.leader.as_ref(),
+            self.leader.as_mut(),
             &mut self.gateway,
             &mut mail,
         );
