Keep failing jobs backed off under a new leader

Cause: failures are in no record, so a new leader began anew with pauses of 4 s for every failing job at once, and filled the free room with each failing array. In the new test (ten one-task jobs and two arrays of 300, all failing) a change of leader brought 3 starts of each job and 15 and 24 of the arrays within a minute; now one of each at most.

The records do show how many attempts were made and what is done. A job with three or more attempts that have ended, nothing done and (arrays) at most one task placed is taken for one that fails: a first failure under the new leader brings the longest pause, and of an array one task is tried first. A sound job loses 10 s at most by that, and only if all that was started of it was stopped or lost before.

Ruled out: recording failures, a change of the records for what a few attempts tell as well.

Seen failing: without the look at the records 3 starts of each job and 15 and 24 of the arrays.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -248,6 +248,8 @@
 /// Jobs that must have failed on a machine, with none completing there since, before it is replaced. A job that has
 /// failed on more machines than that, with none of its tasks completing since, blames none.
 pub const FAULTY_JOBS: usize = 2;
+/// Attempts of a job that ended under earlier leaders, with nothing done, from which it is taken for one that fails.
+pub const FRUITLESS_ATTEMPTS: u64 = 3;
 /// Milliseconds for which a task of a job must have been running to prove that the job does not fail everywhere.
 pub const SOUND_RUN_MS: u64 = 10_000;
 /// Factor by which a machine's tasks must run over those elsewhere to be called slow.
--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -172,6 +172,8 @@
     /// Gang: some of its tasks waited in vain for others that are still fetching the image.
     pub alone: bool,
     pub fails: u32,
+    /// Under earlier leaders all that was started of it ended with nothing done.
+    pub fruitless: bool,
     pub fail_machines: BTreeSet<String>,
     pub pause_until: u64,
     pub first_run: Option<u64>,
@@ -204,6 +206,7 @@
             broken: false,
             alone: false,
             fails: 0,
+            fruitless: false,
             fail_machines: BTreeSet::new(),
             pause_until: 0,
             first_run: None,
@@ -450,7 +453,31 @@
 
     /// Whether it has failed on so many machines that it most likely fails on all of them.
     pub fn seems_to_fail_everywhere(&self) -> bool {
-        self.fail_machines.len() > constants::FAULTY_JOBS
+        self.fruitless || self.fail_machines.len() > constants::FAULTY_JOBS
+    }
+
+    /// Whether its records show several attempts that have ended and nothing that is done. They do not tell why; if
+    /// it was by failures, they must not begin anew with short pauses under each leader.
+    pub fn has_been_fruitless(&self) -> bool {
+        let (attempts, present) = match self.is_gang() {
+            true => (self.highest_attempt(), u64::from(self.placed > 0)),
+            false => (
+                self.chunks.values().map(|c| c.hi).sum(),
+                u64::from(self.placed),
+            ),
+        };
+        let ended = attempts.saturating_sub(present);
+        let idle = self.is_gang() || self.placed <= 1;
+        self.done == 0 && idle && ended >= constants::FRUITLESS_ATTEMPTS
+    }
+
+    /// Milliseconds for which it is left alone after a failure.
+    pub fn error_pause_ms(&self) -> u64 {
+        let pause = match self.fruitless {
+            true => constants::ERROR_PAUSE_MAX_MS,
+            false => constants::ERROR_PAUSE_MS << self.fails.min(5),
+        };
+        pause.min(constants::ERROR_PAUSE_MAX_MS)
     }
 
     /// Whether it is over and may be filed away.
--- a/crates/control/src/leader/pages.rs
+++ b/crates/control/src/leader/pages.rs
@@ -223,6 +223,7 @@
         }
         for job in self.jobs.values_mut() {
             job.count_chunks();
+            job.fruitless = job.has_been_fruitless();
         }
         self.settle_homes();
     }
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -399,6 +399,7 @@
                     .map(|t| now.mono.saturating_sub(t) as f64 / 1000.0);
                 let (mean, timed) = job.sample();
                 job.fails = 0;
+                job.fruitless = false;
                 job.fail_machines.clear();
                 if gang {
                     // A gang completes together: one done task proves all of them.
@@ -418,8 +419,7 @@
             }
             Cause::Error | Cause::Other => {
                 job.fails += 1;
-                let pause = ERROR_PAUSE_MS << job.fails.min(5);
-                job.pause_until = now.mono + pause.min(ERROR_PAUSE_MAX_MS);
+                job.pause_until = now.mono + job.error_pause_ms();
                 job.fail_machines.insert(machine.to_string());
                 // A job that fails on one machine after the other blames no machine.
                 let suspect = !job.seems_to_fail_everywhere();
--- a/crates/control/tests/failing_jobs.rs
+++ b/crates/control/tests/failing_jobs.rs
@@ -151,6 +151,40 @@
     clean(&w);
 }
 
+/// A new leader knew nothing of earlier failures: all failing jobs began anew with short pauses, wide arrays with as
+/// many tasks as there was room for.
+#[test]
+fn failing_jobs_stay_backed_off_across_a_change_of_leader() {
+    let mut w = two_teams(3);
+    let mut ids: Vec<String> = (100..110).map(|n| format!("run-{n}")).collect();
+    for id in &ids {
+        assert_eq!(w.submit(0, &array(id, 1), failing()), 201);
+    }
+    for id in ["run-1", "run-2"] {
+        assert_eq!(w.submit(0, &array(id, 300), failing()), 201);
+        ids.push(id.into());
+    }
+    // A job whose tasks run on; it is no worse off with the new leader.
+    let sound = of_team("u", array("run-3", 8));
+    assert_eq!(w.submit(0, &sound, runs(600_000)), 201);
+    w.run(200_000);
+    let placed = w.on_machines("run-3");
+    let count = |w: &World| ids.iter().map(|id| starts(w, id)).collect::<Vec<usize>>();
+    let before = count(&w);
+    let leader = w.leader().expect("leader");
+    w.crash(leader);
+    w.run(60_000);
+    let after = count(&w);
+    let fresh: Vec<usize> = after.iter().zip(&before).map(|(a, b)| a - b).collect();
+    assert!(fresh.iter().all(|n| *n <= 1), "{fresh:?} starts of {ids:?}");
+    assert!(fresh.contains(&1), "they are still tried");
+    assert_eq!(w.on_machines("run-3"), placed);
+    w.start(leader);
+    w.run(4_000);
+    assert_all_machines_are_used(&mut w, "run-50", 8);
+    clean(&w);
+}
+
 /// A machine is told apart by jobs that run elsewhere, also while jobs that fail everywhere are about.
 #[test]
 fn a_machine_on_which_every_job_fails_is_kept_free_and_given_back() {
