--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -1,6 +1,6 @@
 //! What the leader knows of jobs and machines.
 
-use sched::{RangeSet, Res};
+use sched::{RangeSet, Resources};
 use std::collections::{BTreeMap, BTreeSet};
 use wire::records::*;
 use wire::users::{Priority, Shape, Submission};
@@ -281,11 +281,11 @@
         self.spec.tasks as u32
     }
 
-    pub fn res(&self) -> Res {
-        Res {
+    pub fn res(&self) -> Resources {
+        Resources {
             cpus: self.spec.cpus,
             gpus: self.spec.gpus,
-            mem: self.spec.mem_gb,
+            memory_gb: self.spec.mem_gb,
         }
     }
 
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -4,7 +4,7 @@
 use super::books::*;
 use super::thrift::CONSOLIDATED;
 use super::*;
-use sched::{plan_fleet, FleetView, Offer, Res};
+use sched::{plan_fleet, FleetSnapshot, Offer, Resources};
 use wire::cloud::{MachinePhase, Rent};
 
 /// Where this leader's money went, by what the GPU share (or CPU share) of each machine did.
@@ -328,10 +328,10 @@
                         kind: picture.kinds.number(&t.name),
                         zone: picture.zones.number(zone),
                         spot,
-                        total: Res {
+                        total: Resources {
                             cpus: t.cpus,
                             gpus: t.gpus,
-                            mem: t.mem_gb,
+                            memory_gb: t.mem_gb,
                         },
                         price: if spot { t.spot_price } else { t.price },
                         open,
@@ -365,7 +365,7 @@
                 }
             }
         }
-        let fleet = FleetView {
+        let fleet = FleetSnapshot {
             offers,
             coming,
             thrifty: self.settings.thrifty(),
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -3,8 +3,8 @@
 use super::books::*;
 use super::*;
 use sched::{
-    pilots_of, queue_of, Decision, JobView, MachineView, Res, Round, RunningView, TeamView, View,
-    UNKNOWN_ZONE,
+    pilots_of, queue_of, ClusterSnapshot, Decision, JobSnapshot, MachineSnapshot, ResourceBounds,
+    Resources, Round, RunningTask, TeamSnapshot, UNKNOWN_ZONE,
 };
 
 /// Numbers names for the scheduler.
@@ -26,7 +26,7 @@
 
 /// A view, with what its numbers stand for.
 pub(super) struct Picture {
-    pub view: View,
+    pub view: ClusterSnapshot,
     pub jobs: Vec<String>,
     pub machines: Vec<String>,
     pub kinds: Names,
@@ -111,13 +111,13 @@
             Names::default(),
             Names::default(),
         );
-        let mut view = View::default();
+        let mut view = ClusterSnapshot::default();
         for t in &self.settings.deployment.teams {
             teams.number(&t.name);
-            view.teams.push(TeamView {
-                guarantee: (t.cpus, t.gpus),
-                limit: (t.cpus_max, t.gpus_max),
-                ..TeamView::default()
+            view.teams.push(TeamSnapshot {
+                guarantee: ResourceBounds::from_settings(t.cpus, t.gpus),
+                limit: ResourceBounds::from_settings(t.cpus_max, t.gpus_max),
+                ..TeamSnapshot::default()
             });
         }
         let types: HashMap<&str, &MachineType> = self
@@ -134,14 +134,14 @@
             let Some(t) = types.get(m.kind.as_str()).filter(|_| m.known) else {
                 continue;
             };
-            let total = Res {
+            let total = Resources {
                 cpus: t.cpus,
                 gpus: t.gpus,
-                mem: t.mem_gb,
+                memory_gb: t.mem_gb,
             };
             index.insert(name, machines.len());
             machines.push(name.clone());
-            view.machines.push(MachineView {
+            view.machines.push(MachineSnapshot {
                 kind: kinds.number(&m.kind),
                 zone: zones.number(&m.zone),
                 spot: m.spot,
@@ -178,7 +178,7 @@
             }
             let team = teams.number(&job.spec.team);
             if team >= view.teams.len() {
-                view.teams.push(TeamView::default());
+                view.teams.push(TeamSnapshot::default());
             }
             let number = jobs.len();
             jobs.push(id.clone());
@@ -219,13 +219,13 @@
                 let left = (secs - elapsed).max(secs * 0.25);
                 view.machines[m].busy_s = view.machines[m].busy_s.max(left);
                 let saves = job.spec.checkpoint_s > 0.0;
-                view.running.push(RunningView {
+                view.running.push(RunningTask {
                     job: number,
                     task: number_of_task,
                     machine: m,
                     team,
                     priority: job.priority() as u8,
-                    res: task,
+                    resources: task,
                     left_s: left,
                     movable: place.stop.is_none()
                         && place.stage == Stage::Seen
@@ -256,7 +256,7 @@
             let policy = self.operator.policy();
             let wanted_pilots = pilots_of(&policy, job.tasks());
             let known_pilots = pilots + job.sample().1;
-            view.jobs.push(JobView {
+            view.jobs.push(JobSnapshot {
                 team,
                 gang: job.is_gang(),
                 priority: job.priority() as u8,
@@ -289,14 +289,14 @@
                 order: latest.unwrap_or(job.ready_at),
                 aims: latest.is_some(),
                 running: job.placed,
-                kept: job
+                reserved_machines: job
                     .kept
                     .iter()
                     .filter_map(|m| index.get(m.as_str()).copied())
                     .collect(),
                 resting: job.is_resting(now.unix),
-                claims: now.unix / 1000 % (CLAIM_S + CLAIM_PAUSE_S) < CLAIM_S,
-                aged: {
+                may_claim_limit: now.unix / 1000 % (CLAIM_S + CLAIM_PAUSE_S) < CLAIM_S,
+                overdue: {
                     let begun = job.first_run.is_some() || job.placed > 0 || job.done > 0;
                     let age_s = now.unix.saturating_sub(job.ready_at) as f64 / 1000.0;
                     // What nobody waits for is never urgent: it would go before all that has an aim, for ever.
@@ -372,7 +372,7 @@
         );
         let mut round = Round::new(&policy, view);
         let passed = std::mem::take(&mut self.passed);
-        round.skip((0..names.len()).filter(|&j| passed.contains(&names[j])));
+        round.exclude((0..names.len()).filter(|&j| passed.contains(&names[j])));
         let viewed = stopwatch();
         // The whole round is held to the budget; the decisions get their least share even so.
         let until = (started + ROUND_BUDGET_MS * 1000).max(viewed + ROUND_LEAST_MS * 1000);
@@ -404,7 +404,7 @@
         }
         for decision in decisions {
             match decision {
-                Decision::Keep {
+                Decision::Reserve {
                     job,
                     machines: kept,
                 } => {
--- a/crates/control/src/leader/thrift.rs
+++ b/crates/control/src/leader/thrift.rs
@@ -2,7 +2,7 @@
 
 use super::books::*;
 use super::*;
-use sched::Res;
+use sched::Resources;
 
 /// Machines that waiting work could use.
 pub(super) struct Wanted {
@@ -48,11 +48,11 @@
         if waiting || emptying >= most {
             return;
         }
-        let mut on: Vec<Vec<&sched::RunningView>> = vec![Vec::new(); view.machines.len()];
+        let mut on: Vec<Vec<&sched::RunningTask>> = vec![Vec::new(); view.machines.len()];
         for r in &view.running {
             on[r.machine].push(r);
         }
-        let mut rooms: Vec<(usize, Res)> = (0..view.machines.len())
+        let mut rooms: Vec<(usize, Resources)> = (0..view.machines.len())
             .filter(|&o| view.machines[o].usable && (view.machines[o].spot || !on[o].is_empty()))
             .filter(|&o| view.machines[o].free.gpus > 0.0 || view.machines[o].total.gpus <= 0.0)
             .map(|o| (o, view.machines[o].free))
@@ -88,16 +88,16 @@
             if filled.contains(&m) {
                 continue;
             }
-            let mut taken: Vec<(usize, Res)> = Vec::new();
+            let mut taken: Vec<(usize, Resources)> = Vec::new();
             let all = on[m].iter().all(|r| {
                 let job = &view.jobs[r.job];
                 let plain = job.spot && job.zone.is_none() && !job.one_zone;
-                let fits = |(o, room): &&mut (usize, Res)| {
-                    *o != m && !chosen.contains(o) && room.fits(&r.res)
+                let fits = |(o, room): &&mut (usize, Resources)| {
+                    *o != m && !chosen.contains(o) && room.fits(&r.resources)
                 };
                 let found = rooms.iter_mut().find(fits).map(|(o, room)| {
-                    room.sub(&r.res);
-                    taken.push((*o, r.res));
+                    room.sub(&r.resources);
+                    taken.push((*o, r.resources));
                 });
                 found.is_some() && plain && job.zone_cap.is_none()
             });
@@ -124,7 +124,7 @@
     /// gang come up one by one, and the first would otherwise be gone before the last is there.
     pub(super) fn wanted(&self, now: Now) -> Vec<Wanted> {
         let teams = &self.settings.deployment.teams;
-        let mut used: HashMap<&str, Res> = HashMap::new();
+        let mut used: HashMap<&str, Resources> = HashMap::new();
         for job in self.jobs.values() {
             let all = job.res().times(f64::from(job.placed));
             used.entry(&job.spec.team).or_default().add(&all);
@@ -169,10 +169,10 @@
                             && s.gpus <= t.gpus
                             && s.mem_gb <= t.mem_gb
                     };
-                    let total = Res {
+                    let total = Resources {
                         cpus: t.cpus,
                         gpus: t.gpus,
-                        mem: t.mem_gb,
+                        memory_gb: t.mem_gb,
                     };
                     let filled = |j: &&Job| {
                         let waiting = (j.spec.tasks - j.done) as u32 - j.placed;
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -1,6 +1,6 @@
 //! How many machines of which type, zone and kind are wanted.
 
-use crate::{JobView, Res, View};
+use crate::{ClusterSnapshot, JobSnapshot, Resources};
 use constants::RENT_MAX;
 
 /// A type of machine in a zone, spot or not.
@@ -13,16 +13,16 @@
     /// Whether it is spot.
     pub spot: bool,
     /// What a machine has.
-    pub total: Res,
+    pub total: Resources,
     /// Price an hour.
     pub price: f64,
     /// Whether it may be asked for now (the cloud did not just refuse it).
     pub open: bool,
 }
 
-/// What fleet planning sees besides the round's view.
+/// What fleet planning sees besides the round's snapshot.
 #[derive(Debug, Clone, Default)]
-pub struct FleetView {
+pub struct FleetSnapshot {
     /// What the cloud offers.
     pub offers: Vec<Offer>,
     /// Machines on their way, by offer.
@@ -48,7 +48,7 @@
     kind: usize,
     zone: usize,
     spot: bool,
-    free: Res,
+    free: Resources,
     count: u32,
 }
 
@@ -68,7 +68,7 @@
 /// Waiting tasks are packed into free and coming room; what is left over is packed into new machines, each task
 /// on the offer with the lowest price for the task. Where money does not count, every open offer is asked for
 /// as much as one request may: capacity shows only in what the cloud refuses.
-pub fn plan_fleet(view: &View, fleet: &FleetView) -> Vec<RentWish> {
+pub fn plan_fleet(snapshot: &ClusterSnapshot, fleet: &FleetSnapshot) -> Vec<RentWish> {
     let mut wishes = vec![0u32; fleet.offers.len()];
     if !fleet.thrifty {
         for (i, offer) in fleet.offers.iter().enumerate() {
@@ -76,20 +76,24 @@
         }
         return to_list(wishes);
     }
-    let wants = |j: &&JobView| !j.waiting.is_empty() && !j.resting;
-    let waiting = || view.jobs.iter().filter(wants);
+    let wants = |j: &&JobSnapshot| !j.waiting.is_empty() && !j.resting;
+    let waiting = || snapshot.jobs.iter().filter(wants);
     let Some(least) = waiting().map(|j| j.task).reduce(|a, b| a.min(&b)) else {
         return Vec::new();
     };
     // Room that running tasks leave before a new machine could be up is as good as the new machine.
-    let mut coming_free: Vec<Res> = view.machines.iter().map(|m| m.free).collect();
-    for r in view.running.iter().filter(|r| r.left_s < fleet.horizon_s) {
-        coming_free[r.machine].add(&r.res);
+    let mut coming_free: Vec<Resources> = snapshot.machines.iter().map(|m| m.free).collect();
+    for r in snapshot
+        .running
+        .iter()
+        .filter(|r| r.left_s < fleet.horizon_s)
+    {
+        coming_free[r.machine].add(&r.resources);
     }
     // Full machines are of no interest, and machines that are alike count together: a large fleet comes down
     // to a few rooms.
     let mut rooms: Vec<Room> = Vec::new();
-    for (m, free) in view.machines.iter().zip(coming_free) {
+    for (m, free) in snapshot.machines.iter().zip(coming_free) {
         if m.usable && free.fits(&least) {
             let (kind, zone, spot) = (m.kind, m.zone, m.spot);
             add_rooms(
@@ -118,13 +122,13 @@
             );
         }
     }
-    let mut teams = view.teams.clone();
-    let mut order: Vec<usize> = (0..view.jobs.len())
-        .filter(|&j| wants(&&view.jobs[j]))
+    let mut teams = snapshot.teams.clone();
+    let mut order: Vec<usize> = (0..snapshot.jobs.len())
+        .filter(|&j| wants(&&snapshot.jobs[j]))
         .collect();
-    order.sort_by_key(|&j| (!view.jobs[j].gang, view.jobs[j].order));
+    order.sort_by_key(|&j| (!snapshot.jobs[j].gang, snapshot.jobs[j].order));
     for j in order {
-        let job = &view.jobs[j];
+        let job = &snapshot.jobs[j];
         // Tasks by zone, those on machines included: machines in a zone the job can't use are of no help to it.
         let mut by_zone = job.zones_used.clone();
         let only = job
@@ -215,7 +219,7 @@
 }
 
 /// The zone for a job that must stay in one: where it is, else where most room is, else where most is offered.
-fn home_zone(job: &crate::JobView, rooms: &[Room], fleet: &FleetView) -> Option<usize> {
+fn home_zone(job: &crate::JobSnapshot, rooms: &[Room], fleet: &FleetSnapshot) -> Option<usize> {
     if let Some((zone, _)) = job.zones_used.iter().find(|(_, n)| *n > 0) {
         return Some(*zone);
     }
@@ -261,18 +265,18 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::{MachineView, TeamView};
+    use crate::{MachineSnapshot, TeamSnapshot};
 
     /// Found by a story: room in two zones counted as enough for a gang that must stay in one, and machines were
     /// rented in a zone that its other tasks ruled out.
     #[test]
     fn a_gang_of_one_zone_is_given_machines_in_its_zone() {
-        let total = Res {
+        let total = Resources {
             cpus: 32.0,
             gpus: 4.0,
-            mem: 256.0,
+            memory_gb: 256.0,
         };
-        let machine = |zone| MachineView {
+        let machine = |zone| MachineSnapshot {
             kind: 0,
             zone,
             spot: false,
@@ -288,7 +292,7 @@
             reach_s: 0.0,
             coming_s: None,
         };
-        let mut job = JobView {
+        let mut job = JobSnapshot {
             team: 0,
             gang: true,
             service: false,
@@ -309,10 +313,10 @@
             order: 0,
             running: 0,
             avoid: vec![],
-            kept: vec![],
-            aged: false,
+            reserved_machines: vec![],
+            overdue: false,
             resting: false,
-            claims: true,
+            may_claim_limit: true,
             aims: true,
         };
         let offer = |zone| Offer {
@@ -323,23 +327,23 @@
             price: 1.0,
             open: true,
         };
-        let fleet = FleetView {
+        let fleet = FleetSnapshot {
             offers: vec![offer(0), offer(1)],
             coming: vec![0, 0],
             thrifty: true,
             horizon_s: 0.0,
         };
-        let view = |job: &JobView, machines| View {
+        let snapshot = |job: &JobSnapshot, machines| ClusterSnapshot {
             machines,
-            teams: vec![TeamView::default()],
+            teams: vec![TeamSnapshot::default()],
             jobs: vec![job.clone()],
             running: vec![],
         };
-        let one_each = plan_fleet(&view(&job, vec![machine(0), machine(1)]), &fleet);
+        let one_each = plan_fleet(&snapshot(&job, vec![machine(0), machine(1)]), &fleet);
         assert_eq!(one_each, vec![RentWish { offer: 0, count: 1 }]);
         job.zones_used = vec![(1, 1)];
         job.waiting = vec![1];
-        let rest = plan_fleet(&view(&job, vec![machine(0)]), &fleet);
+        let rest = plan_fleet(&snapshot(&job, vec![machine(0)]), &fleet);
         assert_eq!(rest, vec![RentWish { offer: 1, count: 1 }]);
     }
 }
--- a/crates/sched/src/resources.rs
+++ b/crates/sched/src/resources.rs
@@ -1,18 +1,21 @@
-//! Amounts of CPUs, GPUs and memory.
+//! Amounts of CPUs, GPUs and memory, and bounds on them.
 
-/// Amounts of a machine or of a task.
+/// What a machine has or a task takes.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct Res {
+pub struct Resources {
     /// CPUs.
     pub cpus: f64,
     /// GPUs.
     pub gpus: f64,
     /// Memory in GB.
-    pub mem: f64,
+    pub memory_gb: f64,
 }
 
 /// Tolerance for sums of decimal amounts.
-const EPS: f64 = 1e-6;
+pub(crate) const EPS: f64 = 1e-6;
+
+/// Amounts up to this count as nothing.
+const NOTHING: f64 = 1e-9;
 
 /// CPUs that weigh as much as a GPU.
 const CPUS_PER_GPU: f64 = 16.0;
@@ -20,44 +23,44 @@
 /// Memory in GB that weighs as much as a GPU.
 const MEMORY_PER_GPU: f64 = 256.0;
 
-impl Res {
+impl Resources {
     /// Whether `other` fits into this.
-    pub fn fits(&self, other: &Res) -> bool {
+    pub fn fits(&self, other: &Resources) -> bool {
         other.cpus <= self.cpus + EPS
             && other.gpus <= self.gpus + EPS
-            && other.mem <= self.mem + EPS
+            && other.memory_gb <= self.memory_gb + EPS
     }
 
     /// Adds.
-    pub fn add(&mut self, other: &Res) {
+    pub fn add(&mut self, other: &Resources) {
         self.cpus += other.cpus;
         self.gpus += other.gpus;
-        self.mem += other.mem;
+        self.memory_gb += other.memory_gb;
     }
 
     /// Subtracts.
-    pub fn sub(&mut self, other: &Res) {
+    pub fn sub(&mut self, other: &Resources) {
         self.cpus -= other.cpus;
         self.gpus -= other.gpus;
-        self.mem -= other.mem;
+        self.memory_gb -= other.memory_gb;
     }
 
     /// Multiplied by a number of tasks.
-    pub fn times(&self, n: f64) -> Res {
-        Res {
+    pub fn times(&self, n: f64) -> Resources {
+        Resources {
             cpus: self.cpus * n,
             gpus: self.gpus * n,
-            mem: self.mem * n,
+            memory_gb: self.memory_gb * n,
         }
     }
 
     /// How many of `task` fit, at most `most`.
-    pub fn holds(&self, task: &Res, most: u32) -> u32 {
+    pub fn holds(&self, task: &Resources, most: u32) -> u32 {
         let mut n = f64::from(most);
         for (have, need) in [
             (self.cpus, task.cpus),
             (self.gpus, task.gpus),
-            (self.mem, task.mem),
+            (self.memory_gb, task.memory_gb),
         ] {
             if need > EPS {
                 n = n.min(((have + EPS) / need).floor());
@@ -67,16 +70,46 @@
     }
 
     /// The lesser of both, resource by resource.
-    pub(crate) fn min(&self, other: &Res) -> Res {
-        Res {
+    pub(crate) fn min(&self, other: &Resources) -> Resources {
+        Resources {
             cpus: self.cpus.min(other.cpus),
             gpus: self.gpus.min(other.gpus),
-            mem: self.mem.min(other.mem),
+            memory_gb: self.memory_gb.min(other.memory_gb),
         }
     }
 
     /// One number for all of it: GPUs are what is scarce wherever there are any.
     pub(crate) fn weight(&self) -> f64 {
-        self.gpus + self.cpus / CPUS_PER_GPU + self.mem / MEMORY_PER_GPU
+        self.gpus + self.cpus / CPUS_PER_GPU + self.memory_gb / MEMORY_PER_GPU
+    }
+}
+
+/// A team's guarantee or limit. A resource without a bound has none, not a bound of nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct ResourceBounds {
+    /// CPUs.
+    pub cpus: Option<f64>,
+    /// GPUs.
+    pub gpus: Option<f64>,
+}
+
+impl ResourceBounds {
+    /// Bounds as settings have them, where 0 stands for none.
+    pub fn from_settings(cpus: f64, gpus: f64) -> Self {
+        let bound = |amount: f64| (amount > 0.0).then_some(amount);
+        ResourceBounds {
+            cpus: bound(cpus),
+            gpus: bound(gpus),
+        }
+    }
+
+    /// Whether `used` and `more` together stay within the bounds. `unbounded` tells whether a resource without a bound
+    /// may be used at all.
+    pub(crate) fn contain(&self, used: &Resources, more: &Resources, unbounded: bool) -> bool {
+        let within = |bound: Option<f64>, used: f64, more: f64| match bound {
+            Some(bound) => used + more <= bound + EPS,
+            None => unbounded || more <= NOTHING,
+        };
+        within(self.cpus, used.cpus, more.cpus) && within(self.gpus, used.gpus, more.gpus)
     }
 }
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -2,7 +2,7 @@
 //!
 //! Order of jobs: work that fits its team's guarantee, then priority, then pilots, queued jobs (by weighted
 //! sharing between queues), and held tasks of arrays still being sampled, those without any aim last. A round can be cut
-//! short by its time budget; what it decided so far stands, and the next round works from a fresh view, starting with the
+//! short by its time budget; what it decided so far stands, and the next round works from a fresh snapshot, starting with the
 //! job after the one reached.
 //!
 //! | module | subject |
@@ -23,7 +23,7 @@
 mod reservations;
 mod room;
 
-use crate::{Policy, Res, View};
+use crate::{ClusterSnapshot, Policy, Resources};
 use constants::LASTING_S;
 use limits::LimitClaim;
 
@@ -50,8 +50,8 @@
         /// Job that needs the room.
         by: usize,
     },
-    /// Keep machines from filling up until a gang finds room on them.
-    Keep {
+    /// Reserve machines for a gang, so that they do not fill up before it finds room on them.
+    Reserve {
         /// Gang.
         job: usize,
         /// Machines.
@@ -73,7 +73,7 @@
 /// A round under way.
 pub struct Round<'a> {
     policy: &'a Policy,
-    view: View,
+    snapshot: ClusterSnapshot,
     /// Weight of what runs, by queue.
     queue_usage: Vec<f64>,
     /// How many of each job's waiting tasks have been placed.
@@ -85,10 +85,10 @@
     /// The gang of each team that waits for the team's limit and is left what it needs.
     limit_claims: Vec<Option<LimitClaim>>,
     /// What of each team's use is expected to go on for long.
-    long_running: Vec<Res>,
+    long_running: Vec<Resources>,
     decisions: Vec<Decision>,
     /// The least that any waiting task takes, resource by resource.
-    smallest_task: Res,
+    smallest_task: Resources,
     /// Machines that may still take a task: most of a busy fleet is full, and a round looks at these for each task.
     open_machines: Vec<usize>,
     /// Tasks that may be stopped, by machine; filled when they are first looked for.
@@ -96,22 +96,26 @@
 }
 
 impl<'a> Round<'a> {
-    /// A round over a view.
-    pub fn new(policy: &'a Policy, view: View) -> Self {
-        let (jobs, machines, teams) = (view.jobs.len(), view.machines.len(), view.teams.len());
+    /// A round over a snapshot.
+    pub fn new(policy: &'a Policy, snapshot: ClusterSnapshot) -> Self {
+        let (jobs, machines, teams) = (
+            snapshot.jobs.len(),
+            snapshot.machines.len(),
+            snapshot.teams.len(),
+        );
         let mut round = Round {
             policy,
-            queue_usage: queue_usage(policy, &view),
+            queue_usage: queue_usage(policy, &snapshot),
             placed: vec![0; jobs],
             blocked: vec![false; jobs],
-            reserved_for: earlier_reservations(&view),
+            reserved_for: earlier_reservations(&snapshot),
             limit_claims: vec![None; teams],
-            long_running: long_running(&view),
+            long_running: long_running(&snapshot),
             decisions: Vec::new(),
-            smallest_task: smallest_task(&view),
+            smallest_task: smallest_task(&snapshot),
             open_machines: Vec::new(),
             victims: None,
-            view,
+            snapshot,
         };
         round.open_machines = (0..machines)
             .filter(|&machine| round.can_take_task(machine))
@@ -120,8 +124,8 @@
         round
     }
 
-    /// Passes over jobs for which an earlier round, cut short since, found no room: it goes on behind them.
-    pub fn skip(&mut self, jobs: impl Iterator<Item = usize>) {
+    /// Leaves out jobs for which an earlier round, cut short since, found no room: this one goes on behind them.
+    pub fn exclude(&mut self, jobs: impl Iterator<Item = usize>) {
         for job in jobs {
             self.blocked[job] = true;
         }
@@ -140,7 +144,7 @@
     }
 
     fn decide(&mut self, mut go_on: impl FnMut() -> bool) -> bool {
-        let mut waiting: Vec<usize> = (0..self.view.jobs.len()).collect();
+        let mut waiting: Vec<usize> = (0..self.snapshot.jobs.len()).collect();
         loop {
             if !go_on() {
                 return false;
@@ -181,25 +185,25 @@
 
     /// Number of waiting tasks that have not been placed yet.
     fn tasks_left(&self, job: usize) -> usize {
-        self.view.jobs[job].waiting.len() - self.placed[job]
+        self.snapshot.jobs[job].waiting.len() - self.placed[job]
     }
 
     /// What the job would ask for next: one task, or the whole gang.
-    fn demand(&self, job: usize) -> Res {
-        let view = &self.view.jobs[job];
-        let tasks = if view.gang { self.tasks_left(job) } else { 1 };
-        view.task.times(tasks as f64)
+    fn demand(&self, job: usize) -> Resources {
+        let spec = &self.snapshot.jobs[job];
+        let tasks = if spec.gang { self.tasks_left(job) } else { 1 };
+        spec.task.times(tasks as f64)
     }
 
     /// Whether the next task of a job is a pilot.
     fn next_is_pilot(&self, job: usize) -> bool {
-        (self.placed[job] as u32) < self.view.jobs[job].pilots_due
+        (self.placed[job] as u32) < self.snapshot.jobs[job].pilots_due
     }
 
     /// Places the next task or the gang; false if there is no room.
     fn place_next(&mut self, job: usize) -> bool {
         let demand = self.demand(job);
-        let team = &self.view.teams[self.view.jobs[job].team];
+        let team = &self.snapshot.teams[self.snapshot.jobs[job].team];
         let mut with_claim = demand;
         with_claim.add(&self.claimed_ahead_of(job));
         if !team.allows(&with_claim) {
@@ -208,7 +212,7 @@
             return false;
         }
         let entitled = team.entitles(&demand);
-        if self.view.jobs[job].gang {
+        if self.snapshot.jobs[job].gang {
             self.place_gang(job, entitled)
         } else {
             self.place_task(job, entitled)
@@ -219,7 +223,7 @@
         let Some(chosen) = self.gang_machines(job, |machine| machine.free, false) else {
             return false;
         };
-        let waiting = &self.view.jobs[job].waiting[self.placed[job]..];
+        let waiting = &self.snapshot.jobs[job].waiting[self.placed[job]..];
         let tasks: Vec<(u32, usize)> = waiting.iter().copied().zip(chosen).collect();
         for &(_, machine) in &tasks {
             self.occupy(job, machine, false);
@@ -241,7 +245,7 @@
         let Some(machine) = self.best_machine(job, pilot) else {
             return false;
         };
-        let task = self.view.jobs[job].waiting[self.placed[job]];
+        let task = self.snapshot.jobs[job].waiting[self.placed[job]];
         self.occupy(job, machine, pilot);
         self.placed[job] += 1;
         self.decisions.push(Decision::Place {
@@ -255,19 +259,19 @@
 
     /// Counts a task of the job as running on the machine.
     fn occupy(&mut self, job: usize, machine: usize, pilot: bool) {
-        let task = self.view.jobs[job].task;
-        let target = &mut self.view.machines[machine];
+        let task = self.snapshot.jobs[job].task;
+        let target = &mut self.snapshot.machines[machine];
         target.free.sub(&task);
         target.soon.sub(&task);
         target.pilots += u32::from(pilot);
         target.slots = target.slots.saturating_sub(1);
         let zone = target.zone;
-        let view = &mut self.view.jobs[job];
-        add_to_zone(&mut view.zones_used, zone, 1);
-        if let Some(usage) = self.queue_usage.get_mut(view.queue) {
+        let spec = &mut self.snapshot.jobs[job];
+        add_to_zone(&mut spec.zones_used, zone, 1);
+        if let Some(usage) = self.queue_usage.get_mut(spec.queue) {
             *usage += task.weight();
         }
-        self.view.teams[view.team].used.add(&task);
+        self.snapshot.teams[spec.team].used.add(&task);
         if !self.can_take_task(machine) {
             if let Some(at) = self.open_machines.iter().position(|&open| open == machine) {
                 self.open_machines.swap_remove(at);
@@ -277,9 +281,9 @@
 }
 
 /// Weight of what runs of each queue's jobs.
-fn queue_usage(policy: &Policy, view: &View) -> Vec<f64> {
+fn queue_usage(policy: &Policy, snapshot: &ClusterSnapshot) -> Vec<f64> {
     let mut usage = vec![0.0; policy.queues.max(1)];
-    for job in &view.jobs {
+    for job in &snapshot.jobs {
         if let Some(queue) = usage.get_mut(job.queue) {
             *queue += f64::from(job.running) * job.task.weight();
         }
@@ -288,11 +292,15 @@
 }
 
 /// Reservations of earlier rounds stay: machines chosen anew each round would fill up again in between.
-fn earlier_reservations(view: &View) -> Vec<Option<usize>> {
-    let mut reserved_for = vec![None; view.machines.len()];
-    for (number, job) in view.jobs.iter().enumerate() {
-        for &machine in job.kept.iter().filter(|_| !job.waiting.is_empty()) {
-            if view.machines[machine].usable || view.machines[machine].coming_s.is_some() {
+fn earlier_reservations(snapshot: &ClusterSnapshot) -> Vec<Option<usize>> {
+    let mut reserved_for = vec![None; snapshot.machines.len()];
+    for (number, job) in snapshot.jobs.iter().enumerate() {
+        for &machine in job
+            .reserved_machines
+            .iter()
+            .filter(|_| !job.waiting.is_empty())
+        {
+            if snapshot.machines[machine].usable || snapshot.machines[machine].coming_s.is_some() {
                 reserved_for[machine] = Some(number);
             }
         }
@@ -301,17 +309,21 @@
 }
 
 /// What of each team's use is expected to go on for long.
-fn long_running(view: &View) -> Vec<Res> {
-    let mut long_running = vec![Res::default(); view.teams.len()];
-    for task in view.running.iter().filter(|task| task.left_s > LASTING_S) {
-        long_running[task.team].add(&task.res);
+fn long_running(snapshot: &ClusterSnapshot) -> Vec<Resources> {
+    let mut long_running = vec![Resources::default(); snapshot.teams.len()];
+    for task in snapshot
+        .running
+        .iter()
+        .filter(|task| task.left_s > LASTING_S)
+    {
+        long_running[task.team].add(&task.resources);
     }
     long_running
 }
 
 /// The least that any waiting task takes, resource by resource.
-fn smallest_task(view: &View) -> Res {
-    let waiting = view.jobs.iter().filter(|job| !job.waiting.is_empty());
+fn smallest_task(snapshot: &ClusterSnapshot) -> Resources {
+    let waiting = snapshot.jobs.iter().filter(|job| !job.waiting.is_empty());
     let smallest = waiting.map(|job| job.task).reduce(|a, b| a.min(&b));
     smallest.unwrap_or_default()
 }
--- a/crates/sched/src/round/gangs.rs
+++ b/crates/sched/src/round/gangs.rs
@@ -1,7 +1,7 @@
 //! Machines for a whole gang at once.
 
 use super::{add_to_zone, Round};
-use crate::{MachineView, Res};
+use crate::{MachineSnapshot, Resources};
 
 /// Cost of a machine that is reserved for a gang behind this one.
 const TAKE_OVER_COST: f64 = 1_000.0;
@@ -26,16 +26,16 @@
     pub(super) fn gang_machines(
         &self,
         job: usize,
-        room: impl Fn(&MachineView) -> Res,
+        room: impl Fn(&MachineSnapshot) -> Resources,
         soon: bool,
     ) -> Option<Vec<usize>> {
         let candidates = self.gang_candidates(job, room, soon);
-        if !self.view.jobs[job].one_zone {
+        if !self.snapshot.jobs[job].one_zone {
             return self.fill(job, &candidates, None);
         }
         let mut zones: Vec<usize> = Vec::new();
         for candidate in &candidates {
-            let zone = self.view.machines[candidate.machine].zone;
+            let zone = self.snapshot.machines[candidate.machine].zone;
             if !zones.contains(&zone) {
                 zones.push(zone);
             }
@@ -56,26 +56,26 @@
     fn gang_candidates(
         &self,
         job: usize,
-        room: impl Fn(&MachineView) -> Res,
+        room: impl Fn(&MachineSnapshot) -> Resources,
         soon: bool,
     ) -> Vec<Candidate> {
-        let task = &self.view.jobs[job].task;
+        let task = &self.snapshot.jobs[job].task;
         let needed = self.tasks_left(job) as u32;
         let behind = self.holders_behind(job);
         let available = |machine: usize| {
             self.reserved_for[machine].is_none_or(|holder| holder == job || behind[holder])
         };
-        let mut candidates: Vec<Candidate> = (0..self.view.machines.len())
-            .filter(|&m| room(&self.view.machines[m]).fits(task))
+        let mut candidates: Vec<Candidate> = (0..self.snapshot.machines.len())
+            .filter(|&m| room(&self.snapshot.machines[m]).fits(task))
             .filter(|&m| available(m))
             .filter(|&m| self.is_allowed(job, m) || soon && self.is_allowed_soon(job, m))
             .map(|machine| {
-                let view = &self.view.machines[machine];
+                let host = &self.snapshot.machines[machine];
                 Candidate {
                     cost: self.placement_cost(job, machine, false)
                         + self.reservation_cost(job, machine),
                     machine,
-                    tasks: room(view).holds(task, needed.min(view.slots)),
+                    tasks: room(host).holds(task, needed.min(host.slots)),
                 }
             })
             .filter(|candidate| candidate.tasks > 0)
@@ -86,7 +86,7 @@
 
     /// What is there goes before what is on its way, and of each what is reserved for the gang stays so.
     fn reservation_cost(&self, job: usize, machine: usize) -> f64 {
-        let coming_s = self.view.machines[machine].coming_s;
+        let coming_s = self.snapshot.machines[machine].coming_s;
         match (coming_s, self.reserved_for[machine]) {
             (None, Some(holder)) if holder == job => -RESERVED_GAIN,
             (None, None) => 0.0,
@@ -109,7 +109,7 @@
         let mut chosen = Vec::new();
         let mut by_zone: Vec<(usize, u32)> = Vec::new();
         for candidate in candidates {
-            let zone = self.view.machines[candidate.machine].zone;
+            let zone = self.snapshot.machines[candidate.machine].zone;
             if only_zone.is_some_and(|only| only != zone) {
                 continue;
             }
@@ -129,7 +129,7 @@
     /// sits on most of what it needs, waiting for its last machine, while all of them together hold enough for
     /// some to begin.
     fn holders_behind(&self, job: usize) -> Vec<bool> {
-        let mut behind = vec![false; self.view.jobs.len()];
+        let mut behind = vec![false; self.snapshot.jobs.len()];
         let own = (self.rank(job), job);
         let mut holders: Vec<usize> = self.reserved_for.iter().flatten().copied().collect();
         holders.sort_unstable();
--- a/crates/sched/src/round/limits.rs
+++ b/crates/sched/src/round/limits.rs
@@ -4,20 +4,20 @@
 //! a time has a claim: what it needs of the limit is not given to tasks behind it.
 
 use super::Round;
-use crate::{Res, TeamView};
+use crate::Resources;
 
 /// A gang that is left what it needs of its team's limit.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct LimitClaim {
     gang: usize,
-    demand: Res,
+    demand: Resources,
 }
 
 impl Round<'_> {
     /// Claims for gangs that wait for their team's limit alone. A gang larger than its team's guarantee ranks behind all
     /// that fits into it, and would never get in.
     pub(super) fn claim_limits(&mut self) {
-        let jobs = 0..self.view.jobs.len();
+        let jobs = 0..self.snapshot.jobs.len();
         let mut gangs: Vec<usize> = jobs.filter(|&job| self.waits_for_limit(job)).collect();
         gangs.sort_by(|a, b| self.compare_in_team(*a, *b));
         for gang in gangs {
@@ -26,39 +26,39 @@
     }
 
     fn waits_for_limit(&self, job: usize) -> bool {
-        let view = &self.view.jobs[job];
-        view.gang
+        let spec = &self.snapshot.jobs[job];
+        spec.gang
             && self.tasks_left(job) > 0
-            && !self.view.teams[view.team].allows(&self.demand(job))
+            && !self.snapshot.teams[spec.team].allows(&self.demand(job))
     }
 
     /// A claim for a job that may have one, if its team has none yet. Not if what runs on for long, other gangs mostly,
     /// keeps it out in any case.
     pub(super) fn claim_limit(&mut self, job: usize) {
-        let view = &self.view.jobs[job];
+        let spec = &self.snapshot.jobs[job];
         let demand = self.demand(job);
-        let limit = self.view.teams[view.team].limit;
-        let possible = TeamView::within(limit, true, &self.long_running[view.team], &demand);
-        let may_claim = view.gang && view.claims && !view.resting;
-        if may_claim && possible && self.limit_claims[view.team].is_none() {
-            self.limit_claims[view.team] = Some(LimitClaim { gang: job, demand });
+        let limit = &self.snapshot.teams[spec.team].limit;
+        let possible = limit.contain(&self.long_running[spec.team], &demand, true);
+        let may_claim = spec.gang && spec.may_claim_limit && !spec.resting;
+        if may_claim && possible && self.limit_claims[spec.team].is_none() {
+            self.limit_claims[spec.team] = Some(LimitClaim { gang: job, demand });
         }
     }
 
     /// What of its team's limit is claimed by a gang that goes before this job: only of what the job takes itself, or a
     /// task without GPUs would wait for those of a gang.
-    pub(super) fn claimed_ahead_of(&self, job: usize) -> Res {
-        let view = &self.view.jobs[job];
+    pub(super) fn claimed_ahead_of(&self, job: usize) -> Resources {
+        let spec = &self.snapshot.jobs[job];
         let is_ahead = |gang: usize| gang != job && self.compare_in_team(gang, job).is_lt();
-        let claim = self.limit_claims[view.team].filter(|claim| is_ahead(claim.gang));
+        let claim = self.limit_claims[spec.team].filter(|claim| is_ahead(claim.gang));
         let Some(LimitClaim { demand, .. }) = claim else {
-            return Res::default();
+            return Resources::default();
         };
         let if_taken = |claimed: f64, takes: f64| if takes > 0.0 { claimed } else { 0.0 };
-        Res {
-            cpus: if_taken(demand.cpus, view.task.cpus),
-            gpus: if_taken(demand.gpus, view.task.gpus),
-            mem: 0.0,
+        Resources {
+            cpus: if_taken(demand.cpus, spec.task.cpus),
+            gpus: if_taken(demand.gpus, spec.task.gpus),
+            memory_gb: 0.0,
         }
     }
 }
--- a/crates/sched/src/round/placement.rs
+++ b/crates/sched/src/round/placement.rs
@@ -1,7 +1,7 @@
 //! Which machines a task may go to, and which suits it best.
 
 use super::Round;
-use crate::{MachineView, UNKNOWN_ZONE};
+use crate::{MachineSnapshot, UNKNOWN_ZONE};
 use constants::{COMING_S, FRAGILE_COST, REACH_COST};
 
 /// Cost of each pilot that already runs on a machine, for another one.
@@ -17,45 +17,49 @@
 impl Round<'_> {
     /// Whether a machine has room for the smallest of the waiting tasks.
     pub(super) fn can_take_task(&self, machine: usize) -> bool {
-        let view = &self.view.machines[machine];
-        view.usable && view.slots > 0 && view.free.fits(&self.smallest_task)
+        let host = &self.snapshot.machines[machine];
+        host.usable && host.slots > 0 && host.free.fits(&self.smallest_task)
     }
 
     /// Whether tasks of the job may go to the machine, if there is room.
     pub(super) fn is_allowed(&self, job: usize, machine: usize) -> bool {
-        self.view.machines[machine].usable && self.meets_constraints(job, machine)
+        self.snapshot.machines[machine].usable && self.meets_constraints(job, machine)
     }
 
     /// Whether tasks of the job may go to the machine now or within moments.
     pub(super) fn is_allowed_soon(&self, job: usize, machine: usize) -> bool {
-        let view = &self.view.machines[machine];
-        let usable_soon = view.usable || view.coming_s.is_some_and(|s| s <= COMING_S);
+        let host = &self.snapshot.machines[machine];
+        let usable_soon = host.usable || host.coming_s.is_some_and(|s| s <= COMING_S);
         usable_soon && self.meets_constraints(job, machine)
     }
 
     fn meets_constraints(&self, job: usize, machine: usize) -> bool {
-        let (j, m) = (&self.view.jobs[job], &self.view.machines[machine]);
-        m.slots > 0
-            && (j.spot || !m.spot)
-            && j.zone.is_none_or(|zone| zone == m.zone)
-            && j.kinds.as_ref().is_none_or(|kinds| kinds.contains(&m.kind))
-            && !j.avoid.contains(&machine)
-            && m.total.fits(&j.task)
+        let spec = &self.snapshot.jobs[job];
+        let host = &self.snapshot.machines[machine];
+        host.slots > 0
+            && (spec.spot || !host.spot)
+            && spec.zone.is_none_or(|zone| zone == host.zone)
+            && spec
+                .kinds
+                .as_ref()
+                .is_none_or(|kinds| kinds.contains(&host.kind))
+            && !spec.avoid.contains(&machine)
+            && host.total.fits(&spec.task)
     }
 
     /// How many more tasks of the job the zone may hold.
     pub(super) fn zone_capacity(&self, job: usize, zone: usize) -> u32 {
-        let view = &self.view.jobs[job];
+        let spec = &self.snapshot.jobs[job];
         let is_elsewhere = |(used, tasks): &(usize, u32)| *used != zone && *tasks > 0;
-        if view.one_zone && view.zones_used.iter().any(is_elsewhere) {
+        if spec.one_zone && spec.zones_used.iter().any(is_elsewhere) {
             return 0;
         }
-        let Some(cap) = view.zone_cap else {
+        let Some(cap) = spec.zone_cap else {
             return u32::MAX;
         };
         // What is in a zone that nobody knows yet may be in this one.
         let may_be_here = |used: usize| used == zone || used == UNKNOWN_ZONE;
-        let here = view
+        let here = spec
             .zones_used
             .iter()
             .filter(|(used, _)| may_be_here(*used));
@@ -69,37 +73,38 @@
 
     /// What it costs to place a task of the job on the machine.
     pub(super) fn placement_cost(&self, job: usize, machine: usize, pilot: bool) -> f64 {
-        let (j, m) = (&self.view.jobs[job], &self.view.machines[machine]);
+        let spec = &self.snapshot.jobs[job];
+        let host = &self.snapshot.machines[machine];
         let mut cost = 0.0;
         if pilot {
-            cost += PILOT_COST * f64::from(m.pilots);
+            cost += PILOT_COST * f64::from(host.pilots);
         }
-        if m.slow {
+        if host.slow {
             cost += SLOW_COST;
         }
-        if !m.images.contains(&j.image) {
+        if !host.images.contains(&spec.image) {
             cost += FETCH_COST;
         }
-        if j.fragile {
-            cost += fragile_cost(m);
-        } else if j.spot && !m.spot {
+        if spec.fragile {
+            cost += fragile_cost(host);
+        } else if spec.spot && !host.spot {
             cost += ORDINARY_COST;
         }
-        cost += REACH_COST * m.reach_s;
-        let mut rest = m.free;
-        rest.sub(&j.task);
+        cost += REACH_COST * host.reach_s;
+        let mut rest = host.free;
+        rest.sub(&spec.task);
         cost + rest.weight().max(0.0)
     }
 
     /// The machine that suits the next task of the job best, of those with room.
     pub(super) fn best_machine(&self, job: usize, pilot: bool) -> Option<usize> {
-        let task = &self.view.jobs[job].task;
+        let task = &self.snapshot.jobs[job].task;
         let has_room = |&machine: &usize| {
-            let view = &self.view.machines[machine];
-            view.free.fits(task)
+            let host = &self.snapshot.machines[machine];
+            host.free.fits(task)
                 && self.is_allowed(job, machine)
                 && self.is_available(job, machine)
-                && self.zone_capacity(job, view.zone) > 0
+                && self.zone_capacity(job, host.zone) > 0
         };
         let machines = self.open_machines.iter().copied().filter(has_room);
         machines
@@ -111,7 +116,7 @@
 
 /// What it costs to place a task that never saves: all is lost with a spot machine, and an idle machine of ours may go
 /// back, unless something runs there.
-fn fragile_cost(machine: &MachineView) -> f64 {
+fn fragile_cost(machine: &MachineSnapshot) -> f64 {
     let idle = machine.total.gpus > 0.0 && machine.free.gpus >= machine.total.gpus;
     match (machine.spot, idle) {
         (true, _) => FRAGILE_COST,
--- a/crates/sched/src/round/preemption.rs
+++ b/crates/sched/src/round/preemption.rs
@@ -1,7 +1,7 @@
 //! Tasks stopped to make room: those of lower priority, or, for a guarantee, what another team runs beyond its own.
 
 use super::{Decision, Round};
-use crate::{JobView, Res, RunningView, TeamView};
+use crate::{JobSnapshot, Resources, RunningTask, TeamSnapshot};
 use constants::FETCH_COST_S;
 
 /// Cost of stopping a task besides the work that is lost, in seconds.
@@ -23,7 +23,7 @@
         if self.victims.is_none() {
             self.victims = Some(self.stoppable_by_machine());
         }
-        let preemptor = self.view.jobs[job].clone();
+        let preemptor = self.snapshot.jobs[job].clone();
         if !self.may_find_victims(&preemptor, entitled) {
             return false;
         }
@@ -45,8 +45,8 @@
     }
 
     fn stoppable_by_machine(&self) -> Vec<Vec<usize>> {
-        let mut by_machine = vec![Vec::new(); self.view.machines.len()];
-        for (number, task) in self.view.running.iter().enumerate() {
+        let mut by_machine = vec![Vec::new(); self.snapshot.machines.len()];
+        for (number, task) in self.snapshot.running.iter().enumerate() {
             if task.movable {
                 by_machine[task.machine].push(number);
             }
@@ -55,16 +55,16 @@
     }
 
     /// Most jobs that wait have no right to anybody's room: no need to look at every machine for them.
-    fn may_find_victims(&self, preemptor: &JobView, entitled: bool) -> bool {
-        let lower = |task: &RunningView| task.movable && task.priority < preemptor.priority;
-        let lends = |team: &TeamView| team.borrows(&Res::default());
-        self.view.running.iter().any(lower) || entitled && self.view.teams.iter().any(lends)
+    fn may_find_victims(&self, preemptor: &JobSnapshot, entitled: bool) -> bool {
+        let lower = |task: &RunningTask| task.movable && task.priority < preemptor.priority;
+        let lends = |team: &TeamSnapshot| team.borrows(&Resources::default());
+        self.snapshot.running.iter().any(lower) || entitled && self.snapshot.teams.iter().any(lends)
     }
 
     fn preemption_options(
         &self,
         job: usize,
-        preemptor: &JobView,
+        preemptor: &JobSnapshot,
         entitled: bool,
         needed: u32,
     ) -> Vec<PreemptionOption> {
@@ -72,12 +72,12 @@
         for (machine, stoppable) in self.victims.iter().flatten().enumerate() {
             if !self.is_allowed(job, machine)
                 || !self.is_available(job, machine)
-                || self.zone_capacity(job, self.view.machines[machine].zone) == 0
+                || self.zone_capacity(job, self.snapshot.machines[machine].zone) == 0
             {
                 continue;
             }
             let stoppable = self.cheapest_first(job, stoppable);
-            if stoppable.is_empty() && !self.view.machines[machine].soon.fits(&preemptor.task) {
+            if stoppable.is_empty() && !self.snapshot.machines[machine].soon.fits(&preemptor.task) {
                 continue;
             }
             let option = self.room_on(machine, preemptor, entitled, needed, stoppable);
@@ -90,7 +90,7 @@
 
     /// Tasks of other jobs that may still be stopped: lowest priority first, then by the work that is lost.
     fn cheapest_first(&self, job: usize, stoppable: &[usize]) -> Vec<usize> {
-        let running = &self.view.running;
+        let running = &self.snapshot.running;
         let may_stop = |&task: &usize| running[task].movable && running[task].job != job;
         let mut tasks: Vec<usize> = stoppable.iter().copied().filter(may_stop).collect();
         tasks.sort_by(|&a, &b| {
@@ -105,32 +105,33 @@
     fn room_on(
         &self,
         machine: usize,
-        preemptor: &JobView,
+        preemptor: &JobSnapshot,
         entitled: bool,
         needed: u32,
         stoppable: Vec<usize>,
     ) -> PreemptionOption {
-        let view = &self.view.machines[machine];
+        let host = &self.snapshot.machines[machine];
         let (mut victims, mut cost_s) = (Vec::new(), 0.0);
-        if !view.images.contains(&preemptor.image) {
+        if !host.images.contains(&preemptor.image) {
             // The room is wanted soon, and a fetch may take longer than the stopped tasks do to save.
             cost_s += FETCH_COST_S;
         }
-        if view.slow {
+        if host.slow {
             cost_s += 2.0 * FETCH_COST_S;
         }
-        let mut room = view.soon;
-        let mut teams = self.view.teams.clone();
+        let mut room = host.soon;
+        let mut teams = self.snapshot.teams.clone();
         for number in stoppable {
             if room.fits(&preemptor.task) {
                 break;
             }
-            let task = &self.view.running[number];
-            let by_guarantee =
-                entitled && task.team != preemptor.team && teams[task.team].borrows(&task.res);
+            let task = &self.snapshot.running[number];
+            let by_guarantee = entitled
+                && task.team != preemptor.team
+                && teams[task.team].borrows(&task.resources);
             if task.priority < preemptor.priority || by_guarantee {
-                room.add(&task.res);
-                teams[task.team].leaving.add(&task.res);
+                room.add(&task.resources);
+                teams[task.team].leaving.add(&task.resources);
                 cost_s += task.cost_s + STOP_COST_S;
                 victims.push(number);
             }
@@ -145,7 +146,7 @@
 
     /// Keeps the options of the first zone with room for all tasks; false if there is none.
     fn retain_one_zone(&self, options: &mut Vec<PreemptionOption>, needed: u32) -> bool {
-        let zone_of = |option: &PreemptionOption| self.view.machines[option.machine].zone;
+        let zone_of = |option: &PreemptionOption| self.snapshot.machines[option.machine].zone;
         let room_in = |zone: usize| -> u32 {
             let here = options.iter().filter(|option| zone_of(option) == zone);
             here.map(|option| option.tasks).sum()
@@ -161,7 +162,7 @@
     fn stop_victims(
         &mut self,
         job: usize,
-        preemptor: &JobView,
+        preemptor: &JobSnapshot,
         entitled: bool,
         mut needed: u32,
         options: Vec<PreemptionOption>,
@@ -176,22 +177,26 @@
             if preemptor.gang {
                 self.reserved_for[option.machine] = Some(job);
             } else {
-                self.view.machines[option.machine].soon.sub(&preemptor.task);
+                self.snapshot.machines[option.machine]
+                    .soon
+                    .sub(&preemptor.task);
             }
             needed = needed.saturating_sub(option.tasks);
         }
     }
 
     /// Stops a task, unless its team has lost its surplus to an earlier machine of this very choice.
-    fn stop_victim(&mut self, job: usize, preemptor: &JobView, entitled: bool, victim: usize) {
-        let task = self.view.running[victim].clone();
-        let by_guarantee = entitled && self.view.teams[task.team].borrows(&task.res);
+    fn stop_victim(&mut self, job: usize, preemptor: &JobSnapshot, entitled: bool, victim: usize) {
+        let task = self.snapshot.running[victim].clone();
+        let by_guarantee = entitled && self.snapshot.teams[task.team].borrows(&task.resources);
         if task.priority >= preemptor.priority && !by_guarantee {
             return;
         }
-        self.view.running[victim].movable = false;
-        self.view.machines[task.machine].soon.add(&task.res);
-        self.view.teams[task.team].leaving.add(&task.res);
+        self.snapshot.running[victim].movable = false;
+        self.snapshot.machines[task.machine]
+            .soon
+            .add(&task.resources);
+        self.snapshot.teams[task.team].leaving.add(&task.resources);
         self.decisions.push(Decision::Stop {
             job: task.job,
             task: task.task,
--- a/crates/sched/src/round/rank.rs
+++ b/crates/sched/src/round/rank.rs
@@ -35,31 +35,31 @@
 
 impl Round<'_> {
     pub(super) fn rank(&self, job: usize) -> Rank {
-        let view = &self.view.jobs[job];
-        let entitled = self.view.teams[view.team].entitles(&self.demand(job));
+        let spec = &self.snapshot.jobs[job];
+        let entitled = self.snapshot.teams[spec.team].entitles(&self.demand(job));
         let class = self.class(job);
-        let queue_share = if class == Class::Queued && !view.aged {
-            let usage = self.queue_usage.get(view.queue).copied().unwrap_or(0.0);
-            usage / weight_of(self.policy, view.queue)
+        let queue_share = if class == Class::Queued && !spec.overdue {
+            let usage = self.queue_usage.get(spec.queue).copied().unwrap_or(0.0);
+            usage / weight_of(self.policy, spec.queue)
         } else {
             0.0
         };
         Rank {
             beyond_guarantee: !entitled,
-            unimportance: u8::MAX - view.priority,
+            unimportance: u8::MAX - spec.priority,
             class,
             queue_share,
-            order: view.order,
+            order: spec.order,
         }
     }
 
     fn class(&self, job: usize) -> Class {
-        let view = &self.view.jobs[job];
-        if self.next_is_pilot(job) || view.service {
+        let spec = &self.snapshot.jobs[job];
+        if self.next_is_pilot(job) || spec.service {
             Class::PilotOrService
-        } else if !view.sampling {
+        } else if !spec.sampling {
             Class::Queued
-        } else if view.aims {
+        } else if spec.aims {
             Class::HeldWithAim
         } else {
             Class::HeldWithoutAim
--- a/crates/sched/src/round/reservations.rs
+++ b/crates/sched/src/round/reservations.rs
@@ -25,7 +25,7 @@
 
     /// Turns reservations of gangs that still wait into decisions.
     pub(super) fn decide_reservations(&mut self) {
-        let mut by_job: Vec<Vec<usize>> = vec![Vec::new(); self.view.jobs.len()];
+        let mut by_job: Vec<Vec<usize>> = vec![Vec::new(); self.snapshot.jobs.len()];
         for (machine, holder) in self.reserved_for.iter().enumerate() {
             if let Some(job) = holder.filter(|&job| self.tasks_left(job) > 0) {
                 by_job[job].push(machine);
@@ -33,7 +33,7 @@
         }
         for (job, machines) in by_job.into_iter().enumerate() {
             if !machines.is_empty() {
-                self.decisions.push(Decision::Keep { job, machines });
+                self.decisions.push(Decision::Reserve { job, machines });
             }
         }
     }
@@ -42,10 +42,10 @@
     /// lacks reserves nothing: two that each hold half of what both need would wait for ever.
     pub(super) fn reserve_emptying(&mut self, job: usize) {
         let chosen = self.choose_reservations(job);
-        let zone_of = |machine: usize| self.view.machines[machine].zone;
+        let zone_of = |machine: usize| self.snapshot.machines[machine].zone;
         let home = chosen.as_ref().and_then(|machines| machines.first());
         let home = home.map(|&machine| zone_of(machine));
-        let one_zone = self.view.jobs[job].one_zone;
+        let one_zone = self.snapshot.jobs[job].one_zone;
         for machine in 0..self.reserved_for.len() {
             let elsewhere = one_zone && home.is_some_and(|zone| zone != zone_of(machine));
             if self.reserved_for[machine] == Some(job) && (chosen.is_none() || elsewhere) {
@@ -63,9 +63,9 @@
         let own = self.reserved_for.iter().flatten();
         let own = own.filter(|&&holder| holder == job).count();
         // Never more than a part of the fleet stands half empty for gangs, unless a single one needs more.
-        let allowed = (self.view.machines.len() / RESERVED_PART).saturating_sub(taken - own);
+        let allowed = (self.snapshot.machines.len() / RESERVED_PART).saturating_sub(taken - own);
         let alone = taken == own;
-        let busy_s = |machine: usize| self.view.machines[machine].busy_s;
+        let busy_s = |machine: usize| self.snapshot.machines[machine].busy_s;
         let mut best: Option<(f64, Vec<usize>)> = None;
         for group in self.reservable_groups(job) {
             let reserved = group.reserved;
@@ -85,11 +85,11 @@
     }
 
     fn reservable_groups(&self, job: usize) -> Vec<Group> {
-        let one_zone = self.view.jobs[job].one_zone;
+        let one_zone = self.snapshot.jobs[job].one_zone;
         let mut groups: Vec<Group> = Vec::new();
-        for machine in 0..self.view.machines.len() {
+        for machine in 0..self.snapshot.machines.len() {
             let own = self.reserved_for[machine] == Some(job);
-            let zone = self.view.machines[machine].zone;
+            let zone = self.snapshot.machines[machine].zone;
             let reservable =
                 own || self.reserved_for[machine].is_none() && self.is_allowed(job, machine);
             if !reservable || self.zone_capacity(job, zone) == 0 {
@@ -117,12 +117,12 @@
     /// The machines of a group that empty soonest, as many as the gang lacks; none if there are too few.
     fn complete(&self, job: usize, group: Group) -> Option<Vec<usize>> {
         let tasks = self.tasks_left(job);
-        let task = &self.view.jobs[job].task;
+        let task = &self.snapshot.jobs[job].task;
         let holds = |machine: usize| {
-            let total = &self.view.machines[machine].total;
+            let total = &self.snapshot.machines[machine].total;
             total.holds(task, tasks as u32) as usize
         };
-        let busy_s = |machine: usize| self.view.machines[machine].busy_s;
+        let busy_s = |machine: usize| self.snapshot.machines[machine].busy_s;
         let mut machines = group.unreserved;
         machines.sort_by(|&a, &b| busy_s(a).total_cmp(&busy_s(b)));
         let mut lacking = tasks.saturating_sub(group.reserved);
--- a/crates/sched/src/round/room.rs
+++ b/crates/sched/src/round/room.rs
@@ -5,15 +5,15 @@
 impl Round<'_> {
     /// Makes room for a job that found none. What is asked for here is free in a later round.
     pub(super) fn make_room(&mut self, job: usize) {
-        let view = &self.view.jobs[job];
-        if !view.gang && (self.next_is_pilot(job) || view.sampling) {
+        let spec = &self.snapshot.jobs[job];
+        if !spec.gang && (self.next_is_pilot(job) || spec.sampling) {
             return;
         }
-        if view.resting {
+        if spec.resting {
             return self.release_reservations(job);
         }
-        let is_gang = view.gang;
-        let entitled = self.view.teams[view.team].entitles(&self.demand(job));
+        let is_gang = spec.gang;
+        let entitled = self.snapshot.teams[spec.team].entitles(&self.demand(job));
         let emptying = if is_gang {
             self.wait_for_gang_room(job)
         } else {
@@ -41,9 +41,9 @@
 
     /// Counts on a machine that is emptying, if there is one with room for a task.
     fn wait_for_task_room(&mut self, job: usize) -> bool {
-        let task = self.view.jobs[job].task;
-        let emptying = (0..self.view.machines.len()).find(|&machine| {
-            self.view.machines[machine].soon.fits(&task)
+        let task = self.snapshot.jobs[job].task;
+        let emptying = (0..self.snapshot.machines.len()).find(|&machine| {
+            self.snapshot.machines[machine].soon.fits(&task)
                 && self.is_allowed(job, machine)
                 && self.is_available(job, machine)
         });
@@ -51,7 +51,7 @@
             return false;
         };
         // Only what is on its way out is counted on; the machine's free room stays open to all.
-        self.view.machines[machine].soon.sub(&task);
+        self.snapshot.machines[machine].soon.sub(&task);
         true
     }
 }
--- a/crates/sched/src/round/tests.rs
+++ b/crates/sched/src/round/tests.rs
@@ -1,15 +1,21 @@
 //! Small views, and what a round makes of them.
 
 use super::*;
-use crate::{JobView, MachineView, RunningView, TeamView, UNKNOWN_ZONE};
+use crate::{
+    JobSnapshot, MachineSnapshot, ResourceBounds, RunningTask, TeamSnapshot, UNKNOWN_ZONE,
+};
 
-fn machine(zone: usize, gpus: f64) -> MachineView {
-    let total = Res {
+fn bounds(cpus: f64, gpus: f64) -> ResourceBounds {
+    ResourceBounds::from_settings(cpus, gpus)
+}
+
+fn machine(zone: usize, gpus: f64) -> MachineSnapshot {
+    let total = Resources {
         cpus: 32.0,
         gpus,
-        mem: 256.0,
+        memory_gb: 256.0,
     };
-    MachineView {
+    MachineSnapshot {
         kind: 0,
         zone,
         spot: false,
@@ -27,16 +33,16 @@
     }
 }
 
-fn job(order: u64, gang: bool, tasks: u32, gpus: f64) -> JobView {
-    JobView {
+fn job(order: u64, gang: bool, tasks: u32, gpus: f64) -> JobSnapshot {
+    JobSnapshot {
         team: 0,
         gang,
         service: false,
         priority: 1,
-        task: Res {
+        task: Resources {
             cpus: 1.0,
             gpus,
-            mem: 1.0,
+            memory_gb: 1.0,
         },
         kinds: None,
         zone: None,
@@ -53,17 +59,17 @@
         order,
         running: 0,
         avoid: vec![],
-        kept: vec![],
-        aged: false,
+        reserved_machines: vec![],
+        overdue: false,
         resting: false,
-        claims: true,
+        may_claim_limit: true,
         aims: true,
     }
 }
 
-fn decide(view: View) -> Vec<Decision> {
+fn decide(snapshot: ClusterSnapshot) -> Vec<Decision> {
     let policy = Policy::default();
-    Round::new(&policy, view).run(|| true).decisions
+    Round::new(&policy, snapshot).run(|| true).decisions
 }
 
 fn placed(decisions: &[Decision], job: usize) -> Vec<(u32, usize)> {
@@ -86,13 +92,13 @@
     let estimated = job(9, false, 6, 1.0);
     let mut busy = machine(0, 4.0);
     busy.pilots = 1;
-    let view = View {
+    let snapshot = ClusterSnapshot {
         machines: vec![busy, machine(0, 4.0)],
-        teams: vec![TeamView::default()],
+        teams: vec![TeamSnapshot::default()],
         jobs: vec![sampled, estimated],
         running: vec![],
     };
-    let d = decide(view);
+    let d = decide(snapshot);
     assert_eq!(
         placed(&d, 0)[0],
         (0, 1),
@@ -109,13 +115,13 @@
     let small_early = job(2, false, 20, 1.0);
     let mut large = job(1, false, 20, 1.0);
     large.queue = 1;
-    let view = View {
+    let snapshot = ClusterSnapshot {
         machines: vec![machine(0, 22.0)],
-        teams: vec![TeamView::default()],
+        teams: vec![TeamSnapshot::default()],
         jobs: vec![small_late, small_early, large],
         running: vec![],
     };
-    let d = decide(view);
+    let d = decide(snapshot);
     let counts = [0, 1, 2].map(|j| placed(&d, j).len());
     assert_eq!(counts, [0, 20, 2], "ten to one, the earlier job first");
 }
@@ -126,18 +132,18 @@
     together.one_zone = true;
     let mut apart = job(2, true, 3, 4.0);
     apart.zone_cap = Some(2);
-    let view = View {
+    let snapshot = ClusterSnapshot {
         machines: vec![
             machine(0, 4.0),
             machine(1, 4.0),
             machine(1, 4.0),
             machine(2, 4.0),
         ],
-        teams: vec![TeamView::default()],
+        teams: vec![TeamSnapshot::default()],
         jobs: vec![together, apart],
         running: vec![],
     };
-    let d = decide(view);
+    let d = decide(snapshot);
     assert_eq!(placed(&d, 0), vec![(0, 1), (1, 2)]);
     assert!(placed(&d, 1).is_empty(), "two machines hold no gang of 3");
 }
@@ -147,32 +153,32 @@
     let mut gang = job(1, true, 1, 4.0);
     gang.one_zone = true;
     gang.zones_used = vec![(1, 1)];
-    let view = View {
+    let snapshot = ClusterSnapshot {
         machines: vec![machine(0, 4.0)],
-        teams: vec![TeamView::default()],
+        teams: vec![TeamSnapshot::default()],
         jobs: vec![gang],
         running: vec![],
     };
-    assert!(decide(view).is_empty());
+    assert!(decide(snapshot).is_empty());
 }
 
 #[test]
 fn a_limit_holds_and_a_guarantee_takes_back_what_was_lent() {
-    let lender = TeamView {
-        guarantee: (0.0, 4.0),
-        limit: (0.0, 4.0),
-        used: Res::default(),
-        leaving: Res::default(),
+    let lender = TeamSnapshot {
+        guarantee: bounds(0.0, 4.0),
+        limit: bounds(0.0, 4.0),
+        used: Resources::default(),
+        leaving: Resources::default(),
     };
-    let borrower = TeamView {
-        guarantee: (0.0, 2.0),
-        limit: (0.0, 8.0),
-        used: Res {
+    let borrower = TeamSnapshot {
+        guarantee: bounds(0.0, 2.0),
+        limit: bounds(0.0, 8.0),
+        used: Resources {
             cpus: 4.0,
             gpus: 4.0,
-            mem: 4.0,
+            memory_gb: 4.0,
         },
-        leaving: Res::default(),
+        leaving: Resources::default(),
     };
     let mut full = machine(0, 4.0);
     full.free.gpus = 0.0;
@@ -180,19 +186,19 @@
     let mut theirs = job(1, false, 0, 1.0);
     theirs.team = 1;
     let running = (0..4)
-        .map(|task| RunningView {
+        .map(|task| RunningTask {
             job: 1,
             task,
             machine: 0,
             team: 1,
             priority: 1,
-            res: theirs.task,
+            resources: theirs.task,
             movable: true,
             cost_s: f64::from(task),
             left_s: 60.0,
         })
         .collect();
-    let view = View {
+    let snapshot = ClusterSnapshot {
         machines: vec![full],
         teams: vec![lender, borrower],
         jobs: vec![job(3, false, 6, 1.0), theirs],
@@ -200,31 +206,31 @@
     };
     let mut stops = Vec::new();
     // Each round makes room for one task; the borrower keeps its own guarantee of 2.
-    let mut view = view;
+    let mut snapshot = snapshot;
     for _ in 0..4 {
-        let d = decide(view.clone());
+        let d = decide(snapshot.clone());
         for x in d {
             if let Decision::Stop { job, task, by } = x {
                 assert_eq!((job, by), (1, 0));
                 stops.push(task);
-                let v = view.running.iter_mut().find(|r| r.task == task);
+                let v = snapshot.running.iter_mut().find(|r| r.task == task);
                 let v = v.expect("running");
                 v.movable = false;
-                let res = v.res;
-                view.teams[1].used.sub(&res);
-                view.teams[0].used.add(&res);
-                view.jobs[0].waiting.remove(0);
+                let res = v.resources;
+                snapshot.teams[1].used.sub(&res);
+                snapshot.teams[0].used.add(&res);
+                snapshot.jobs[0].waiting.remove(0);
             }
         }
     }
     assert_eq!(stops, vec![0, 1]);
-    let mut limited = View {
+    let mut limited = ClusterSnapshot {
         machines: vec![machine(0, 32.0)],
-        teams: vec![TeamView {
-            guarantee: (0.0, 0.0),
-            limit: (0.0, 3.0),
-            used: Res::default(),
-            leaving: Res::default(),
+        teams: vec![TeamSnapshot {
+            guarantee: bounds(0.0, 0.0),
+            limit: bounds(0.0, 3.0),
+            used: Resources::default(),
+            leaving: Resources::default(),
         }],
         jobs: vec![job(1, false, 9, 1.0)],
         running: vec![],
@@ -237,42 +243,42 @@
 /// Found on a simulated day: a team over its limit for the seconds that a preempted task took to save.
 #[test]
 fn room_that_is_being_vacated_still_counts_against_the_limit() {
-    let res = |gpus: f64| Res {
+    let res = |gpus: f64| Resources {
         cpus: gpus,
         gpus,
-        mem: gpus,
+        memory_gb: gpus,
     };
-    let owner = TeamView {
-        guarantee: (0.0, 4.0),
-        ..TeamView::default()
+    let owner = TeamSnapshot {
+        guarantee: bounds(0.0, 4.0),
+        ..TeamSnapshot::default()
     };
-    let at_limit = TeamView {
-        guarantee: (0.0, 1.0),
-        limit: (0.0, 4.0),
+    let at_limit = TeamSnapshot {
+        guarantee: bounds(0.0, 1.0),
+        limit: bounds(0.0, 4.0),
         used: res(4.0),
-        leaving: Res::default(),
+        leaving: Resources::default(),
     };
     let mut full = machine(0, 4.0);
-    full.free = Res::default();
-    full.soon = Res::default();
+    full.free = Resources::default();
+    full.soon = Resources::default();
     let mut elsewhere = machine(1, 4.0);
     elsewhere.kind = 1;
     let mut wants_room = job(1, false, 1, 1.0);
     wants_room.kinds = Some(vec![0]);
     let mut wants_more = job(2, false, 1, 1.0);
     wants_more.team = 1;
-    let running = vec![RunningView {
+    let running = vec![RunningTask {
         job: 1,
         task: 9,
         machine: 0,
         team: 1,
         priority: 1,
-        res: res(1.0),
+        resources: res(1.0),
         movable: true,
         cost_s: 0.0,
         left_s: 60.0,
     }];
-    let d = decide(View {
+    let d = decide(ClusterSnapshot {
         machines: vec![full, elsewhere],
         teams: vec![owner, at_limit],
         jobs: vec![wants_room, wants_more],
@@ -289,7 +295,7 @@
 /// Found on a simulated day: gangs waited for minutes while small tasks refilled every machine that had
 /// begun to empty for them.
 #[test]
-fn a_gang_keeps_the_machine_that_empties_for_it() {
+fn a_gang_reserves_the_machine_that_empties_for_it() {
     let mut emptying = machine(0, 4.0);
     emptying.free.gpus = 2.0;
     emptying.soon.gpus = 2.0;
@@ -299,31 +305,31 @@
     full.soon.gpus = 0.0;
     full.busy_s = 5.0;
     let mut waiting = job(1, true, 1, 4.0);
-    waiting.kept = vec![0];
-    let view = View {
+    waiting.reserved_machines = vec![0];
+    let snapshot = ClusterSnapshot {
         machines: vec![emptying, full],
-        teams: vec![TeamView::default()],
+        teams: vec![TeamSnapshot::default()],
         jobs: vec![waiting, job(2, false, 8, 1.0)],
         running: vec![],
     };
-    let keep = Decision::Keep {
+    let reserve = Decision::Reserve {
         job: 0,
         machines: vec![0],
     };
-    assert_eq!(decide(view), vec![keep]);
+    assert_eq!(decide(snapshot), vec![reserve]);
 }
 
 #[test]
 fn a_round_cut_short_keeps_what_it_decided() {
     let policy = Policy::default();
-    let view = View {
+    let snapshot = ClusterSnapshot {
         machines: vec![machine(0, 32.0)],
-        teams: vec![TeamView::default()],
+        teams: vec![TeamSnapshot::default()],
         jobs: vec![job(1, false, 9, 1.0)],
         running: vec![],
     };
     let mut steps = 0;
-    let cut = Round::new(&policy, view).run(|| {
+    let cut = Round::new(&policy, snapshot).run(|| {
         steps += 1;
         steps <= 4
     });
@@ -332,59 +338,59 @@
 
 /// Each of many large gangs sat on most of what it needed, a quarter of a fleet idle between them.
 #[test]
-fn a_gang_takes_over_what_gangs_behind_it_keep_and_begins() {
+fn a_gang_takes_over_machines_reserved_by_gangs_that_rank_behind_it() {
     let (mut first, mut second) = (job(1, true, 2, 4.0), job(2, true, 2, 4.0));
-    first.kept = vec![0, 2];
-    second.kept = vec![1, 3];
+    first.reserved_machines = vec![0, 2];
+    second.reserved_machines = vec![1, 3];
     let mut coming = machine(0, 4.0);
     coming.usable = false;
     coming.coming_s = Some(5.0);
-    let view = View {
+    let snapshot = ClusterSnapshot {
         machines: vec![machine(0, 4.0), machine(0, 4.0), coming.clone(), coming],
-        teams: vec![TeamView::default()],
+        teams: vec![TeamSnapshot::default()],
         jobs: vec![first, second],
         running: vec![],
     };
-    let d = decide(view);
+    let d = decide(snapshot);
     assert_eq!(placed(&d, 0), vec![(0, 0), (1, 1)]);
     assert!(placed(&d, 1).is_empty());
-    let keeps =
-        |d: &Decision| matches!(d, Decision::Keep { job: 1, machines } if machines == &[2, 3]);
-    assert!(d.iter().any(keeps), "the other waits for what is coming");
+    let reserves =
+        |d: &Decision| matches!(d, Decision::Reserve { job: 1, machines } if machines == &[2, 3]);
+    assert!(d.iter().any(reserves), "the other waits for what is coming");
 }
 
 /// Gangs of a team at its limit waited nine minutes, as long as its sweeps took each place that became free.
 #[test]
 fn a_gang_kept_out_by_its_teams_limit_is_left_what_it_needs() {
-    let view = |used: f64| {
-        let mut team = TeamView {
-            limit: (0.0, 8.0),
-            ..TeamView::default()
+    let snapshot = |used: f64| {
+        let mut team = TeamSnapshot {
+            limit: bounds(0.0, 8.0),
+            ..TeamSnapshot::default()
         };
         team.used.gpus = used;
-        View {
+        ClusterSnapshot {
             machines: vec![machine(0, 16.0)],
             teams: vec![team],
             jobs: vec![job(1, true, 1, 4.0), job(2, false, 10, 1.0)],
             running: vec![],
         }
     };
-    let full = decide(view(6.0));
+    let full = decide(snapshot(6.0));
     assert!(placed(&full, 0).is_empty() && placed(&full, 1).is_empty());
-    let room = decide(view(3.0));
+    let room = decide(snapshot(3.0));
     assert_eq!((placed(&room, 0).len(), placed(&room, 1).len()), (1, 1));
     // Where another gang keeps it out for long, the rest is not held back.
-    let mut lasting = view(6.0);
-    lasting.running = vec![RunningView {
+    let mut lasting = snapshot(6.0);
+    lasting.running = vec![RunningTask {
         job: 0,
         task: 9,
         machine: 0,
         team: 0,
         priority: 1,
-        res: Res {
+        resources: Resources {
             cpus: 1.0,
             gpus: 6.0,
-            mem: 1.0,
+            memory_gb: 1.0,
         },
         movable: false,
         cost_s: 0.0,
@@ -396,26 +402,29 @@
 /// Of a stage with hundreds of tasks some were always lost with spot machines, and the pipeline was late.
 #[test]
 fn tasks_that_never_save_go_beside_gpu_work_on_ordinary_machines_before_spot_ones() {
-    let spot = MachineView {
+    let spot = MachineSnapshot {
         spot: true,
         ..machine(0, 4.0)
     };
     let mut busy = machine(0, 4.0);
     busy.images.clear();
-    busy.free = Res {
+    busy.free = Resources {
         cpus: 2.0,
         gpus: 0.0,
-        mem: 50.0,
+        memory_gb: 50.0,
     };
     let mut fragile = job(1, false, 4, 0.0);
     fragile.fragile = true;
-    let view = View {
+    let snapshot = ClusterSnapshot {
         machines: vec![machine(0, 4.0), spot, busy],
-        teams: vec![TeamView::default()],
+        teams: vec![TeamSnapshot::default()],
         jobs: vec![fragile],
         running: vec![],
     };
-    let on: Vec<usize> = placed(&decide(view), 0).iter().map(|(_, m)| *m).collect();
+    let on: Vec<usize> = placed(&decide(snapshot), 0)
+        .iter()
+        .map(|(_, m)| *m)
+        .collect();
     assert_eq!(
         on,
         [2, 2, 1, 1],
@@ -429,13 +438,13 @@
     let mut spread = job(1, false, 4, 1.0);
     spread.zone_cap = Some(3);
     spread.zones_used = vec![(UNKNOWN_ZONE, 2), (0, 1)];
-    let view = View {
+    let snapshot = ClusterSnapshot {
         machines: vec![machine(0, 4.0), machine(1, 4.0)],
-        teams: vec![TeamView::default()],
+        teams: vec![TeamSnapshot::default()],
         jobs: vec![spread],
         running: vec![],
     };
-    assert_eq!(placed(&decide(view), 0), vec![(0, 1)], "none in zone 0");
+    assert_eq!(placed(&decide(snapshot), 0), vec![(0, 1)], "none in zone 0");
 }
 
 /// A gang larger than its team's guarantee ranks behind all that fits into it: small work of the team went on taking
@@ -443,35 +452,39 @@
 #[test]
 fn a_gang_beyond_the_guarantee_goes_before_smaller_work_of_its_team_and_keeps_out_only_what_it_needs(
 ) {
-    let view = |claims: bool| {
+    let snapshot = |may_claim: bool| {
         let mut gang = job(1, true, 3, 4.0);
         gang.priority = 2;
-        gang.claims = claims;
+        gang.may_claim_limit = may_claim;
         let small = job(2, false, 3, 1.0);
         let plain = job(3, false, 3, 0.0);
-        let team = TeamView {
-            guarantee: (0.0, 9.0),
-            limit: (0.0, 18.0),
-            used: Res {
+        let team = TeamSnapshot {
+            guarantee: bounds(0.0, 9.0),
+            limit: bounds(0.0, 18.0),
+            used: Resources {
                 cpus: 8.0,
                 gpus: 8.0,
-                mem: 8.0,
+                memory_gb: 8.0,
             },
-            ..TeamView::default()
+            ..TeamSnapshot::default()
         };
-        View {
+        ClusterSnapshot {
             machines: vec![machine(0, 4.0), machine(0, 4.0), machine(0, 4.0)],
             teams: vec![team],
             jobs: vec![gang, small, plain],
             running: vec![],
         }
     };
-    let counts = |view: View| {
-        let d = decide(view);
+    let counts = |snapshot: ClusterSnapshot| {
+        let d = decide(snapshot);
         [0, 1, 2].map(|j| placed(&d, j).len())
     };
-    assert_eq!(counts(view(true)), [0, 0, 3]);
-    assert_eq!(counts(view(false)), [0, 3, 3], "for a while others go on");
+    assert_eq!(counts(snapshot(true)), [0, 0, 3]);
+    assert_eq!(
+        counts(snapshot(false)),
+        [0, 3, 3],
+        "for a while others go on"
+    );
 }
 
 /// Held tasks of work that nobody waits for went by arrival, before those of every sweep with a deadline.
@@ -481,12 +494,12 @@
     (idle_time.sampling, idle_time.aims) = (true, false);
     let mut sweep = job(50, false, 3, 1.0);
     sweep.sampling = true;
-    let view = View {
+    let snapshot = ClusterSnapshot {
         machines: vec![machine(0, 4.0)],
-        teams: vec![TeamView::default()],
+        teams: vec![TeamSnapshot::default()],
         jobs: vec![idle_time, sweep],
         running: vec![],
     };
-    let d = decide(view);
+    let d = decide(snapshot);
     assert_eq!([0, 1].map(|j| placed(&d, j).len()), [1, 3]);
 }
--- a/crates/sched/src/view.rs
+++ b/crates/sched/src/snapshot.rs
@@ -1,13 +1,13 @@
 //! The cluster as one round of decisions sees it.
 
-use crate::Res;
+use crate::resources::{ResourceBounds, Resources, EPS};
 
 /// Number of the zone of a place whose machine has not been heard of yet.
 pub const UNKNOWN_ZONE: usize = usize::MAX;
 
 /// A machine that tasks could be placed on.
 #[derive(Debug, Clone)]
-pub struct MachineView {
+pub struct MachineSnapshot {
     /// Type, as the caller numbers them.
     pub kind: usize,
     /// Zone, as the caller numbers them.
@@ -15,11 +15,11 @@
     /// Whether it is a spot machine.
     pub spot: bool,
     /// What is free now.
-    pub free: Res,
+    pub free: Resources,
     /// What will be free once the tasks that are being stopped have gone.
-    pub soon: Res,
+    pub soon: Resources,
     /// What it has in all.
-    pub total: Res,
+    pub total: Resources,
     /// Whether new tasks may go there.
     pub usable: bool,
     /// How many more tasks it may hold, whatever their size.
@@ -35,75 +35,58 @@
     /// Seconds until a start can be sent there.
     pub reach_s: f64,
     /// Of a machine on its way: seconds until it is expected to be up. Nothing can be placed there yet, but a
-    /// gang may keep it.
+    /// gang may reserve it.
     pub coming_s: Option<f64>,
 }
 
 /// A team.
 #[derive(Debug, Clone, Default)]
-pub struct TeamView {
-    /// Guaranteed CPUs and GPUs; 0 for none.
-    pub guarantee: (f64, f64),
-    /// Most CPUs and GPUs; 0 for no limit.
-    pub limit: (f64, f64),
+pub struct TeamSnapshot {
+    /// What it may use ahead of other teams.
+    pub guarantee: ResourceBounds,
+    /// What it may use at most.
+    pub limit: ResourceBounds,
     /// In use, unsure places included.
-    pub used: Res,
+    pub used: Resources,
     /// Of that, what is being stopped. It still counts against the limit until it has gone.
-    pub leaving: Res,
+    pub leaving: Resources,
 }
 
-impl TeamView {
-    pub(crate) fn within(bound: (f64, f64), all: bool, used: &Res, more: &Res) -> bool {
-        let ok = |bound: f64, used: f64, more: f64| {
-            if bound <= 0.0 {
-                all || more <= 1e-9
-            } else {
-                used + more <= bound + 1e-6
-            }
-        };
-        ok(bound.0, used.cpus, more.cpus) && ok(bound.1, used.gpus, more.gpus)
-    }
-
+impl TeamSnapshot {
     /// Whether `more` stays within the limit.
-    pub fn allows(&self, more: &Res) -> bool {
-        Self::within(self.limit, true, &self.used, more)
+    pub fn allows(&self, more: &Resources) -> bool {
+        self.limit.contain(&self.used, more, true)
     }
 
     /// Whether `more` stays within the guarantee. A resource without a guarantee does not count when the other
     /// has one: a team with GPUs guaranteed needs CPUs to use them.
-    pub fn entitles(&self, more: &Res) -> bool {
-        if self.guarantee.0 <= 0.0 && self.guarantee.1 <= 0.0 {
-            return false;
+    pub fn entitles(&self, more: &Resources) -> bool {
+        let within = |unbounded: bool| self.guarantee.contain(&self.used, more, unbounded);
+        match (self.guarantee.cpus, self.guarantee.gpus) {
+            (None, None) => false,
+            (None, Some(_)) => more.gpus > 0.0 && within(true),
+            (Some(_), None) => within(true),
+            (Some(_), Some(_)) => within(false),
         }
-        if self.guarantee.1 > 0.0 && self.guarantee.0 <= 0.0 {
-            return more.gpus > 0.0
-                && Self::within((0.0, self.guarantee.1), true, &self.used, more);
-        }
-        Self::within(self.guarantee, self.guarantee.1 <= 0.0, &self.used, more)
     }
 
     /// Whether the team would still have its guarantee filled after losing `less`.
-    pub(crate) fn borrows(&self, less: &Res) -> bool {
-        let over = |bound: f64, used: f64, less: f64| used - less >= bound - 1e-6;
-        if self.guarantee.1 > 0.0 || less.gpus > 0.0 {
-            over(
-                self.guarantee.1,
-                self.used.gpus - self.leaving.gpus,
-                less.gpus,
-            )
+    pub(crate) fn borrows(&self, less: &Resources) -> bool {
+        let staying = |used: f64, leaving: f64, less: f64| used - leaving - less;
+        let (staying, guaranteed) = if self.guarantee.gpus.is_some() || less.gpus > 0.0 {
+            let staying = staying(self.used.gpus, self.leaving.gpus, less.gpus);
+            (staying, self.guarantee.gpus)
         } else {
-            over(
-                self.guarantee.0,
-                self.used.cpus - self.leaving.cpus,
-                less.cpus,
-            )
-        }
+            let staying = staying(self.used.cpus, self.leaving.cpus, less.cpus);
+            (staying, self.guarantee.cpus)
+        };
+        staying >= guaranteed.unwrap_or(0.0) - EPS
     }
 }
 
 /// A job with tasks to place.
 #[derive(Debug, Clone)]
-pub struct JobView {
+pub struct JobSnapshot {
     /// Team, as the caller numbers them.
     pub team: usize,
     /// Whether all its tasks start together.
@@ -113,7 +96,7 @@
     /// Priority, larger is more important.
     pub priority: u8,
     /// What a task takes.
-    pub task: Res,
+    pub task: Resources,
     /// Allowed types, `None` for any.
     pub kinds: Option<Vec<usize>>,
     /// The only allowed zone.
@@ -146,20 +129,21 @@
     pub running: u32,
     /// Machines its tasks should keep away from.
     pub avoid: Vec<usize>,
-    /// Machines an earlier round kept for it.
-    pub kept: Vec<usize>,
-    /// Whether it has waited so long without a start that the queues' weights count no more.
-    pub aged: bool,
-    /// A gang that has waited in vain for long: nothing is kept, stopped or rented for it for a while.
+    /// Machines that an earlier round reserved for it.
+    pub reserved_machines: Vec<usize>,
+    /// Whether it has waited so long without a start, or is so near the latest one, that the queues' weights count no
+    /// more.
+    pub overdue: bool,
+    /// A gang that has waited in vain for long: nothing is reserved, stopped or rented for it for a while.
     pub resting: bool,
     /// Whether a gang may at this time keep its team's other work from what is left of the team's limit.
-    pub claims: bool,
+    pub may_claim_limit: bool,
 }
 
 /// A task on a machine that could be stopped.
 #[derive(Debug, Clone)]
-pub struct RunningView {
-    /// Job, by its number among all jobs of the view.
+pub struct RunningTask {
+    /// Job, by its number among all jobs of the snapshot.
     pub job: usize,
     /// Task.
     pub task: u32,
@@ -170,7 +154,7 @@
     /// Priority.
     pub priority: u8,
     /// What it takes.
-    pub res: Res,
+    pub resources: Resources,
     /// Whether it may be stopped: not a gang's, not being stopped, not about to end.
     pub movable: bool,
     /// Seconds of work that stopping would cost.
@@ -181,13 +165,13 @@
 
 /// The cluster as one round sees it.
 #[derive(Debug, Clone, Default)]
-pub struct View {
+pub struct ClusterSnapshot {
     /// Machines.
-    pub machines: Vec<MachineView>,
+    pub machines: Vec<MachineSnapshot>,
     /// Teams.
-    pub teams: Vec<TeamView>,
+    pub teams: Vec<TeamSnapshot>,
     /// Jobs, those without waiting tasks included.
-    pub jobs: Vec<JobView>,
+    pub jobs: Vec<JobSnapshot>,
     /// Tasks on machines.
-    pub running: Vec<RunningView>,
+    pub running: Vec<RunningTask>,
 }
