sched: fleet planning in short functions

`plan_fleet` was one function of 130 lines. `available_rooms`, `Packing` and `Constraints` name its steps: which room there is, how a job's tasks are packed into it, what is rented for the rest. `may_use` stands once where it stood twice.

--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -1,8 +1,11 @@
 //! How many machines of which type, zone and kind are wanted.
 
-use crate::{ClusterSnapshot, JobSnapshot, Resources};
+use crate::{ClusterSnapshot, JobSnapshot, Resources, RunningTask, TeamSnapshot};
 use constants::RENT_MAX;
 
+/// Tasks on one machine, at most, by which an offer's price is divided.
+const PRICED_TASKS: u32 = 1000;
+
 /// A type of machine in a zone, spot or not.
 #[derive(Debug, Clone)]
 pub struct Offer {
@@ -52,6 +55,19 @@
     count: u32,
 }
 
+impl Room {
+    /// Room of new machines.
+    fn of_offer(offer: &Offer, count: u32) -> Self {
+        Room {
+            kind: offer.kind,
+            zone: offer.zone,
+            spot: offer.spot,
+            free: offer.total,
+            count,
+        }
+    }
+}
+
 /// Adds rooms, to those that are alike where there are any.
 fn add_rooms(rooms: &mut Vec<Room>, room: Room) {
     let same = |r: &&mut Room| {
@@ -69,165 +85,195 @@
 /// on the offer with the lowest price for the task. Where money does not count, every open offer is asked for
 /// as much as one request may: capacity shows only in what the cloud refuses.
 pub fn plan_fleet(snapshot: &ClusterSnapshot, fleet: &FleetSnapshot) -> Vec<RentWish> {
-    let mut wishes = vec![0u32; fleet.offers.len()];
     if !fleet.thrifty {
-        for (i, offer) in fleet.offers.iter().enumerate() {
-            wishes[i] = if offer.open { RENT_MAX } else { 0 };
-        }
-        return to_list(wishes);
+        let all = |offer: &Offer| if offer.open { RENT_MAX } else { 0 };
+        return to_list(fleet.offers.iter().map(all).collect());
     }
-    let wants = |j: &&JobSnapshot| !j.waiting.is_empty() && !j.resting;
-    let waiting = || snapshot.jobs.iter().filter(wants);
-    let Some(least) = waiting().map(|j| j.task).reduce(|a, b| a.min(&b)) else {
+    let is_waiting = |job: &&JobSnapshot| !job.waiting.is_empty() && !job.resting;
+    let mut waiting: Vec<&JobSnapshot> = snapshot.jobs.iter().filter(is_waiting).collect();
+    let tasks = waiting.iter().map(|job| job.task);
+    let Some(smallest_task) = tasks.reduce(|a, b| a.min(&b)) else {
         return Vec::new();
     };
-    // Room that running tasks leave before a new machine could be up is as good as the new machine.
-    let mut coming_free: Vec<Resources> = snapshot.machines.iter().map(|m| m.free).collect();
-    for r in snapshot
-        .running
-        .iter()
-        .filter(|r| r.left_s < fleet.horizon_s)
-    {
-        coming_free[r.machine].add(&r.resources);
+    waiting.sort_by_key(|job| (!job.gang, job.order));
+    let mut packing = Packing {
+        fleet,
+        smallest_task,
+        rooms: available_rooms(snapshot, fleet, &smallest_task),
+        teams: snapshot.teams.clone(),
+        wishes: vec![0; fleet.offers.len()],
+    };
+    for job in waiting {
+        packing.pack(job);
+    }
+    to_list(packing.wishes)
+}
+
+/// Room on machines that are there or coming. Room that running tasks leave before a new machine could be up is as good
+/// as the new machine. Full machines are of no interest, and machines that are alike count together: a large fleet comes
+/// down to a few rooms.
+fn available_rooms(
+    snapshot: &ClusterSnapshot,
+    fleet: &FleetSnapshot,
+    smallest_task: &Resources,
+) -> Vec<Room> {
+    let mut free_soon: Vec<Resources> = snapshot.machines.iter().map(|m| m.free).collect();
+    let ends_soon = |task: &&RunningTask| task.left_s < fleet.horizon_s;
+    for task in snapshot.running.iter().filter(ends_soon) {
+        free_soon[task.machine].add(&task.resources);
     }
-    // Full machines are of no interest, and machines that are alike count together: a large fleet comes down
-    // to a few rooms.
     let mut rooms: Vec<Room> = Vec::new();
-    for (m, free) in snapshot.machines.iter().zip(coming_free) {
-        if m.usable && free.fits(&least) {
-            let (kind, zone, spot) = (m.kind, m.zone, m.spot);
-            add_rooms(
-                &mut rooms,
-                Room {
-                    kind,
-                    zone,
-                    spot,
-                    free,
-                    count: 1,
-                },
-            );
+    for (machine, free) in snapshot.machines.iter().zip(free_soon) {
+        if machine.usable && free.fits(smallest_task) {
+            let room = Room {
+                kind: machine.kind,
+                zone: machine.zone,
+                spot: machine.spot,
+                free,
+                count: 1,
+            };
+            add_rooms(&mut rooms, room);
         }
     }
     for (offer, &count) in fleet.offers.iter().zip(&fleet.coming) {
         if count > 0 {
-            add_rooms(
-                &mut rooms,
-                Room {
-                    kind: offer.kind,
-                    zone: offer.zone,
-                    spot: offer.spot,
-                    free: offer.total,
-                    count,
-                },
-            );
+            add_rooms(&mut rooms, Room::of_offer(offer, count));
         }
     }
-    let mut teams = snapshot.teams.clone();
-    let mut order: Vec<usize> = (0..snapshot.jobs.len())
-        .filter(|&j| wants(&&snapshot.jobs[j]))
-        .collect();
-    order.sort_by_key(|&j| (!snapshot.jobs[j].gang, snapshot.jobs[j].order));
-    for j in order {
-        let job = &snapshot.jobs[j];
-        // Tasks by zone, those on machines included: machines in a zone the job can't use are of no help to it.
-        let mut by_zone = job.zones_used.clone();
-        let only = job
-            .one_zone
-            .then(|| home_zone(job, &rooms, fleet))
-            .flatten();
+    rooms
+}
+
+/// Waiting tasks being packed into rooms and new machines.
+struct Packing<'a> {
+    fleet: &'a FleetSnapshot,
+    /// The least that any waiting task takes, resource by resource.
+    smallest_task: Resources,
+    rooms: Vec<Room>,
+    /// With what has been packed counted as used.
+    teams: Vec<TeamSnapshot>,
+    /// Machines to rent, by offer.
+    wishes: Vec<u32>,
+}
+
+/// Where tasks of one job may be packed.
+struct Constraints<'a> {
+    job: &'a JobSnapshot,
+    /// The zone of a job that must stay in one.
+    only_zone: Option<usize>,
+    /// Tasks by zone, those on machines included: machines in a zone the job can't use are of no help to it.
+    tasks_by_zone: Vec<(usize, u32)>,
+}
+
+impl Constraints<'_> {
+    /// How many more tasks a zone may hold.
+    fn zone_capacity(&self, zone: usize) -> u32 {
+        let used = in_zone(&self.tasks_by_zone, zone);
+        let cap = self.job.zone_cap;
+        cap.map_or(u32::MAX, |cap| cap.saturating_sub(used))
+    }
+
+    fn allow(&self, kind: usize, zone: usize, spot: bool) -> bool {
+        may_use(self.job, kind, zone, spot)
+            && self.only_zone.is_none_or(|only| only == zone)
+            && self.zone_capacity(zone) > 0
+    }
+}
+
+impl Packing<'_> {
+    /// Packs all waiting tasks of a job, as far as its team's limit and the offers go.
+    fn pack(&mut self, job: &JobSnapshot) {
+        let home = || home_zone(job, &self.rooms, self.fleet);
+        let mut constraints = Constraints {
+            job,
+            only_zone: job.one_zone.then(home).flatten(),
+            tasks_by_zone: job.zones_used.clone(),
+        };
         let mut left = job.waiting.len() as u32;
-        while left > 0 {
-            if !teams[job.team].allows(&job.task) {
+        while left > 0 && self.teams[job.team].allows(&job.task) {
+            let room = self.take_room(&constraints);
+            let Some(room) = room.or_else(|| self.rent_room(&constraints)) else {
                 break;
-            }
-            let cap = |zone: usize| {
-                let used = in_zone(&by_zone, zone);
-                job.zone_cap
-                    .map_or(u32::MAX, |cap| cap.saturating_sub(used))
-            };
-            let suits = |kind: usize, zone: usize, spot: bool| {
-                (job.spot || !spot)
-                    && job.zone.is_none_or(|z| z == zone)
-                    && only.is_none_or(|z| z == zone)
-                    && cap(zone) > 0
-                    && job.kinds.as_ref().is_none_or(|k| k.contains(&kind))
-            };
-            let there = (0..rooms.len())
-                .filter(|&i| {
-                    let r = &rooms[i];
-                    r.count > 0 && r.free.fits(&job.task) && suits(r.kind, r.zone, r.spot)
-                })
-                .min_by(|&a, &b| {
-                    (rooms[a].free.gpus, !rooms[a].spot)
-                        .partial_cmp(&(rooms[b].free.gpus, !rooms[b].spot))
-                        .unwrap_or(std::cmp::Ordering::Equal)
-                });
-            let room = match there {
-                Some(i) => {
-                    rooms[i].count -= 1;
-                    Room {
-                        count: 1,
-                        ..rooms[i]
-                    }
-                }
-                None => {
-                    let price =
-                        |o: &Offer| o.price / f64::from(o.total.holds(&job.task, 1000).max(1));
-                    let cheapest = (0..fleet.offers.len())
-                        .filter(|&i| {
-                            let o = &fleet.offers[i];
-                            o.open && suits(o.kind, o.zone, o.spot) && o.total.fits(&job.task)
-                        })
-                        .min_by(|&a, &b| {
-                            price(&fleet.offers[a]).total_cmp(&price(&fleet.offers[b]))
-                        });
-                    let Some(i) = cheapest else { break };
-                    wishes[i] += 1;
-                    let o = &fleet.offers[i];
-                    Room {
-                        kind: o.kind,
-                        zone: o.zone,
-                        spot: o.spot,
-                        free: o.total,
-                        count: 1,
-                    }
-                }
             };
-            let mut n = 0;
-            let mut rest = room;
-            while n < left.min(cap(room.zone)) && rest.free.fits(&job.task) {
-                if n > 0 && !teams[job.team].allows(&job.task) {
-                    break;
-                }
-                rest.free.sub(&job.task);
-                teams[job.team].used.add(&job.task);
-                n += 1;
-            }
-            by_zone.push((room.zone, n));
-            left -= n;
-            if rest.free.fits(&least) {
-                add_rooms(&mut rooms, rest);
+            let most = left.min(constraints.zone_capacity(room.zone));
+            let packed = self.fill(job, room, most);
+            constraints.tasks_by_zone.push((room.zone, packed));
+            left -= packed;
+        }
+    }
+
+    /// Takes the tightest room that is there, spot machines first.
+    fn take_room(&mut self, constraints: &Constraints) -> Option<Room> {
+        let suits = |room: &Room| {
+            room.count > 0
+                && room.free.fits(&constraints.job.task)
+                && constraints.allow(room.kind, room.zone, room.spot)
+        };
+        let tightness = |room: &Room| (room.free.gpus, !room.spot);
+        let room = self
+            .rooms
+            .iter_mut()
+            .filter(|room| suits(room))
+            .min_by(|a, b| {
+                let order = tightness(a).partial_cmp(&tightness(b));
+                order.unwrap_or(std::cmp::Ordering::Equal)
+            })?;
+        room.count -= 1;
+        Some(Room { count: 1, ..*room })
+    }
+
+    /// Wishes for a machine of the offer that is cheapest for a task.
+    fn rent_room(&mut self, constraints: &Constraints) -> Option<Room> {
+        let task = &constraints.job.task;
+        let price =
+            |offer: &Offer| offer.price / f64::from(offer.total.holds(task, PRICED_TASKS).max(1));
+        let suits = |offer: &Offer| {
+            offer.open
+                && constraints.allow(offer.kind, offer.zone, offer.spot)
+                && offer.total.fits(task)
+        };
+        let offers = self.fleet.offers.iter().enumerate();
+        let (number, cheapest) = offers
+            .filter(|(_, offer)| suits(offer))
+            .min_by(|(_, a), (_, b)| price(a).total_cmp(&price(b)))?;
+        self.wishes[number] += 1;
+        Some(Room::of_offer(cheapest, 1))
+    }
+
+    /// Packs tasks into a room, the first one in any case; returns how many. What is left of the room stays available.
+    fn fill(&mut self, job: &JobSnapshot, mut room: Room, most: u32) -> u32 {
+        let mut packed = 0;
+        while packed < most && room.free.fits(&job.task) {
+            if packed > 0 && !self.teams[job.team].allows(&job.task) {
+                break;
             }
+            room.free.sub(&job.task);
+            self.teams[job.team].used.add(&job.task);
+            packed += 1;
+        }
+        if room.free.fits(&self.smallest_task) {
+            add_rooms(&mut self.rooms, room);
         }
+        packed
     }
-    to_list(wishes)
 }
 
-fn in_zone(by_zone: &[(usize, u32)], zone: usize) -> u32 {
-    let here = by_zone.iter().filter(|(z, _)| *z == zone);
-    here.map(|(_, n)| n).sum()
+fn in_zone(tasks_by_zone: &[(usize, u32)], zone: usize) -> u32 {
+    let here = tasks_by_zone.iter().filter(|(z, _)| *z == zone);
+    here.map(|(_, tasks)| tasks).sum()
+}
+
+/// Whether tasks of a job may go to machines of a type, zone and kind.
+fn may_use(job: &JobSnapshot, kind: usize, zone: usize, spot: bool) -> bool {
+    (job.spot || !spot)
+        && job.zone.is_none_or(|only| only == zone)
+        && job.kinds.as_ref().is_none_or(|kinds| kinds.contains(&kind))
 }
 
 /// The zone for a job that must stay in one: where it is, else where most room is, else where most is offered.
-fn home_zone(job: &crate::JobSnapshot, rooms: &[Room], fleet: &FleetSnapshot) -> Option<usize> {
+fn home_zone(job: &JobSnapshot, rooms: &[Room], fleet: &FleetSnapshot) -> Option<usize> {
     if let Some((zone, _)) = job.zones_used.iter().find(|(_, n)| *n > 0) {
         return Some(*zone);
     }
-    let allowed = |kind: &usize, zone: &usize, spot: bool| {
-        (job.spot || !spot)
-            && job.zone.is_none_or(|z| z == *zone)
-            && job.kinds.as_ref().is_none_or(|k| k.contains(kind))
-    };
     let need = job.waiting.len() as u32;
     let mut zones: Vec<(usize, u32, bool)> = Vec::new();
     let mut note = |zone: usize, n: u32, offered: bool| match zones.iter_mut().find(|z| z.0 == zone)
@@ -237,12 +283,12 @@
     };
     for r in rooms {
         let n = r.free.holds(&job.task, need).saturating_mul(r.count);
-        if n > 0 && allowed(&r.kind, &r.zone, r.spot) {
+        if n > 0 && may_use(job, r.kind, r.zone, r.spot) {
             note(r.zone, n, false);
         }
     }
     for o in fleet.offers.iter().filter(|o| o.open) {
-        if o.total.fits(&job.task) && allowed(&o.kind, &o.zone, o.spot) {
+        if o.total.fits(&job.task) && may_use(job, o.kind, o.zone, o.spot) {
             note(o.zone, 0, true);
         }
     }
@@ -265,7 +311,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::{MachineSnapshot, TeamSnapshot};
+    use crate::MachineSnapshot;
 
     /// Found by a story: room in two zones counted as enough for a gang that must stay in one, and machines were
     /// rented in a zone that its other tasks ruled out.
