A leader that reaches no worker makes room, also when no peer can be sure

Cause: a leader gave its place up only when no report came and a peer heard workers all the time for 4 s. Three cuts kept one that could place nothing in its place for as long as they lasted. Its answers to workers are lost: reports arrive, all leases run out, every task is lost. Workers that stray from node to node are heard by a peer only now and then. And the peer that hears them is the one that can't tell, when every node lacks something else.

Now leadership is also given up when every worker's session ended too soon under this leader's answers or none reports, and a peer has heard a worker of late; or when no worker of known machines has come for 20 s. Both rest on less than the old rule, which stays as it was, so a node does that once in ten minutes.

Ruled out: dropping the old rule's condition altogether, which let nodes take turns (16 terms in 300 s) while the answers of all of them to workers were lost.

Seen failing, each part taken out by itself: without the unheard leader, a_leader_that_can_place_stands_within_seconds_of_ any_cut_of_one_node and leadership_settles_when_every_node_lacks_something_else; without the untold one, the latter; without hearing of workers now and then, the former; without the limit (10 terms) or the look at whether there are machines, leaders_do_not_take_turns_while_no_worker_reaches_any_node. With all: two terms at most where every node lacks something, and no further one within 240 s.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -33,6 +33,12 @@
 pub const REPORT_FORWARD_MS: u64 = 3_500;
 /// Milliseconds between looks at them while there is still no leader.
 pub const LIMBO_LOOK_MS: u64 = 100;
+/// Milliseconds for which a leader that hears no worker waits for a peer to say that it does, until it makes room anyway:
+/// longer than most cuts of all workers.
+pub const UNTOLD_MS: u64 = 20_000;
+/// Milliseconds between two times that a node gives leadership up without knowing that a peer can do better: where none
+/// can, the nodes would take turns.
+pub const UNSURE_EVERY_MS: u64 = 600_000;
 /// Milliseconds. Spread of the first try at a vacancy, so that two followers seldom collide.
 pub const ELECTION_JITTER_MS: u64 = 250;
 /// Milliseconds after which a candidate gives an attempt up and starts afresh.
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -788,6 +788,20 @@
         self.is_ready() && now > self.ready_at + 2 * silent_ms
     }
 
+    /// Whether there are machines whose workers should report.
+    pub fn knows_machines(&self) -> bool {
+        self.machines.values().any(|m| !m.failed)
+    }
+
+    /// Whether answers reach no worker, though reports arrive: the session of each ended too soon under them, and none
+    /// has outlived a lease since.
+    pub fn is_heard_by_nobody(&self, now: u64) -> bool {
+        let lease_ms = self.lease_lapse_ms();
+        let mut known = self.machines.values().filter(|m| m.synced && !m.failed);
+        let unheard = |m: &Machine| m.lapses > 0 && now <= m.session_since + lease_ms;
+        known.clone().next().is_some() && known.all(unheard)
+    }
+
     pub fn on_cloud(&mut self, ask: CloudAsk, op: CloudOp, reply: CloudReply, mail: &mut Mail) {
         self.cloud_answered(ask, op, reply, mail);
         self.flush(mail);
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -58,6 +58,10 @@
     types_busy: bool,
     last_worker: Option<u64>,
     silent_since: Option<u64>,
+    /// Since when this leader hears no worker, or none hears it.
+    cut_off_since: Option<u64>,
+    /// When leadership may next be given up without knowing that workers reach a peer and hear it.
+    next_unsure: u64,
     /// When a worker is next sent to a leader that workers do not reach.
     next_probe: u64,
     /// Since when peers reach the state service and this leader does not.
@@ -124,6 +128,8 @@
             types_busy: false,
             last_worker: None,
             silent_since: None,
+            cut_off_since: None,
+            next_unsure: 0,
             next_probe: now.mono + PROBE_MS,
             alone_since: None,
             over: Vec::new(),
@@ -256,14 +262,19 @@
         let now = mail.now.mono;
         let Some(leader) = &self.leader else {
             self.silent_since = None;
+            self.cut_off_since = None;
             return;
         };
         let out_of_state = !self.election.lease_holds(now)
             && now > self.state.last_good() + LEADER_LEASE_MS
             && self.peers.with_state(now).is_some();
-        let deaf = self.election.lease_holds(now)
-            && leader.hears_nobody(now)
-            && self.peers.hear_workers(now);
+        let holds = self.election.lease_holds(now);
+        let silent = holds && leader.hears_nobody(now);
+        let unheard = holds && leader.is_heard_by_nobody(now);
+        let deaf = silent && self.peers.hear_workers(now);
+        if !(silent || unheard) {
+            self.cut_off_since = None;
+        }
         if !out_of_state {
             self.alone_since = None;
         }
@@ -278,10 +289,24 @@
                 self.silent_since = None;
                 self.election
                     .resign("workers reach a peer but not us", mail);
+                return;
             }
         } else {
             self.silent_since = None;
         }
+        if silent || unheard {
+            let waited_ms = now - *self.cut_off_since.get_or_insert(now);
+            // Workers that stray from one node to the next are heard by a peer only now and then.
+            let told = self.peers.hear_workers(now) && waited_ms > 2 * PEER_FRESH_MS;
+            // The peer that hears them may be the one that can't tell.
+            let untold = silent && leader.knows_machines() && waited_ms > UNTOLD_MS;
+            // All nodes may be cut off alike, and would take turns for nothing.
+            if (told || untold) && now >= self.next_unsure {
+                self.cut_off_since = None;
+                self.next_unsure = now + UNSURE_EVERY_MS;
+                self.election.resign("no worker can be led", mail);
+            }
+        }
     }
 
     fn beat(&mut self, mail: &mut Mail) {
--- a/crates/control/tests/one_sided_cuts.rs
+++ b/crates/control/tests/one_sided_cuts.rs
@@ -53,6 +53,8 @@
 /// Milliseconds until work is placed while the leader lacks what it needs: it notices, makes room, and workers find the
 /// next one.
 const PLACED_MS: u64 = 20_000;
+/// The same if every node lacks something.
+const PLACED_LAST_MS: u64 = 60_000;
 /// Milliseconds until work is placed while the leader is whole, or lacks only users or peers, which it can do without.
 const PLACED_AT_ONCE_MS: u64 = 5_000;
 
@@ -65,6 +67,7 @@
         (Lacks(Party::State, Cut::Refused), 1),
         // Its reports come through its peers.
         (Lacks(Party::Workers, Cut::Requests), 0),
+        (Lacks(Party::Workers, Cut::Answers), 1),
         (Lacks(Party::Workers, Cut::Refused), 0),
         (Lacks(Party::Users, Cut::Requests), 0),
         (Lacks(Party::Users, Cut::Answers), 0),
@@ -105,3 +108,78 @@
         }
     }
 }
+
+#[test]
+fn leadership_settles_when_every_node_lacks_something_else() {
+    let (state, workers) = (Party::State, Party::Workers);
+    let sets = [
+        [
+            Lacks(state, Cut::Requests),
+            Lacks(workers, Cut::Requests),
+            Peers,
+        ],
+        [
+            Lacks(state, Cut::Refused),
+            Lacks(workers, Cut::Refused),
+            PeersOut,
+        ],
+        [
+            Lacks(state, Cut::Answers),
+            Lacks(workers, Cut::Answers),
+            PeersIn,
+        ],
+    ];
+    for faults in sets {
+        for turn in 0..3 {
+            let mut w = world(3, 4, 0.0);
+            let leader = w.leader().expect("leader");
+            let first_term = term(&w);
+            for (n, fault) in faults.into_iter().enumerate() {
+                cut(&mut w, (leader + turn + n) % 3, fault);
+            }
+            w.run(2_000);
+            submit_anywhere(&mut w, "run-1", 5_000);
+            let placed = w.until(PLACED_LAST_MS, |w| !w.on_machines("run-1").is_empty());
+            let at = format!("{faults:?}, turn {turn}");
+            assert!(placed, "{at}: {} terms", term(&w) - first_term);
+            let settled = term(&w);
+            assert!(
+                settled - first_term <= 2,
+                "{at}: {} terms",
+                settled - first_term
+            );
+            w.run(240_000);
+            assert_eq!(term(&w), settled, "{at}: back and forth");
+            w.heal();
+            assert!(done(&mut w, "run-1", 30_000), "{at}");
+            clean(&w);
+        }
+    }
+}
+
+/// When no worker reaches any node, each of them makes room once in a long time, and not at all while there are no
+/// machines.
+#[test]
+fn leaders_do_not_take_turns_while_no_worker_reaches_any_node() {
+    for lost in [Cut::Requests, Cut::Answers, Cut::Refused] {
+        let mut w = world(3, 4, 0.0);
+        let first_term = term(&w);
+        for node in 0..3 {
+            cut(&mut w, node, Lacks(Party::Workers, lost));
+        }
+        // Machines are rented for it again and again.
+        w.capacity = 60;
+        submit_anywhere(&mut w, "run-0", 5_000);
+        w.run(300_000);
+        let terms = term(&w) - first_term;
+        assert!(terms <= 3, "{lost:?}: {terms} terms");
+        w.heal();
+        submit_anywhere(&mut w, "run-1", 5_000);
+        assert!(done(&mut w, "run-1", 30_000), "{lost:?}");
+        clean(&w);
+    }
+    let mut w = world(3, 0, 0.0);
+    let first_term = term(&w);
+    w.run(300_000);
+    assert_eq!(term(&w), first_term, "without machines");
+}
