daemon: connections to peers are a module of their own

`PeerLinks` owns the connections between controllers, the reading of their frames and the attempts to connect again; it tells the daemon what has happened as the node's inputs. `KeySequence` gives out the poller's keys in place of a bare counter that was passed about. `daemon.rs` has 284 lines instead of 445 and is the loop alone.

Only form has changed.

--- a/crates/vetchmount/src/clients.rs
+++ b/crates/vetchmount/src/clients.rs
@@ -1,6 +1,6 @@
 //! Our own calls: pooled connections, timeouts, bounded queues.
 
-use crate::net::Conn;
+use crate::net::{Conn, KeySequence};
 use constants::*;
 use control::{CallError, CallId};
 use http::{encode_request, ResponseParser};
@@ -56,7 +56,7 @@
         &mut self,
         poller: &Poller,
         call: Call,
-        next_key: &mut usize,
+        keys: &mut KeySequence,
         now: u64,
         done: &mut Vec<Outcome>,
     ) {
@@ -67,7 +67,7 @@
             return;
         }
         queue.push_back(call);
-        self.drive(poller, addr, next_key, now, done);
+        self.drive(poller, addr, keys, now, done);
     }
 
     /// Gives waiting calls to free connections, opening more if there are too few.
@@ -75,7 +75,7 @@
         &mut self,
         poller: &Poller,
         addr: SocketAddrV4,
-        next_key: &mut usize,
+        keys: &mut KeySequence,
         now: u64,
         done: &mut Vec<Outcome>,
     ) {
@@ -104,8 +104,7 @@
             if connecting >= queue.len() || mine().count() >= CLIENT_CONNS {
                 return;
             }
-            let key = *next_key;
-            *next_key += 1;
+            let key = keys.take();
             match Conn::connect(poller, addr, key) {
                 Ok(conn) => {
                     let link = Link {
@@ -154,7 +153,7 @@
         poller: &Poller,
         key: usize,
         buf: &mut [u8],
-        next_key: &mut usize,
+        keys: &mut KeySequence,
         now: u64,
         done: &mut Vec<Outcome>,
     ) {
@@ -190,14 +189,14 @@
         if useless {
             self.drop_link(poller, key, done);
         }
-        self.drive(poller, addr, next_key, now, done);
+        self.drive(poller, addr, keys, now, done);
     }
 
     /// Gives up what took too long.
     pub fn expire(
         &mut self,
         poller: &Poller,
-        next_key: &mut usize,
+        keys: &mut KeySequence,
         now: u64,
         done: &mut Vec<Outcome>,
     ) {
@@ -216,7 +215,7 @@
         }
         for (_, addr) in dead {
             self.refuse_waiting(addr, done);
-            self.drive(poller, addr, next_key, now, done);
+            self.drive(poller, addr, keys, now, done);
         }
         for queue in self.waiting.values_mut() {
             while queue.front().is_some_and(|c| now >= c.deadline) {
--- a/crates/vetchmount/src/daemon.rs
+++ b/crates/vetchmount/src/daemon.rs
@@ -1,40 +1,23 @@
 //! The loop: sockets and time in, the node's outputs out.
 
 use crate::clients::{Call, Clients, Outcome};
-use crate::net::{Conn, Listener};
+use crate::net::{Conn, KeySequence, Listener};
+use crate::peer_links::PeerLinks;
 use crate::servers::{Arrived, Servers};
 use constants::*;
 use control::{Input, Node, Now, Operator, Output, Settings, Target};
 use polling::{Events, Poller};
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use wire::peers::{decode_frame, encode_frame, PeerMessage};
 
+/// Key of the listener for users, workers and the load balancer.
 const PUBLIC: usize = 0;
+/// Key of the listener for peers.
 const BACK: usize = 1;
+/// Where the keys of connections begin.
 const FIRST_CONN: usize = 2;
 
-/// A connection with a peer, in the direction it was opened.
-struct PeerLink {
-    conn: Conn,
-    buf: Vec<u8>,
-    /// Label; of an incoming connection once it has said hello.
-    label: Option<String>,
-    connected: bool,
-    since: u64,
-}
-
-/// A peer we open a connection to.
-struct Sibling {
-    label: String,
-    addr: SocketAddrV4,
-    key: Option<usize>,
-    retry_at: u64,
-    /// It was connected when its connection broke.
-    broke: bool,
-}
-
 struct Daemon {
     poller: Poller,
     public: Listener,
@@ -43,11 +26,9 @@
     clients: Clients,
     /// Workers' reports that wait until users and the leader's lease have been served.
     reports: VecDeque<Arrived>,
-    peers: HashMap<usize, PeerLink>,
-    siblings: Vec<Sibling>,
-    next_key: usize,
+    peers: PeerLinks,
+    keys: KeySequence,
     node: Node,
-    label: String,
     state: SocketAddrV4,
     cloud: SocketAddrV4,
     start: Instant,
@@ -71,13 +52,8 @@
         .siblings
         .iter()
         .map(|s| {
-            Ok(Sibling {
-                label: s.label.clone(),
-                addr: address(&s.addr)?,
-                key: None,
-                retry_at: 0,
-                broke: false,
-            })
+            let addr = address(&s.addr)?;
+            Ok((s.label.clone(), addr))
         })
         .collect::<Result<Vec<_>, String>>()?;
     let limit = settings.deployment.quota.max_connections as f64 * SERVER_SOCKET_SHARE;
@@ -101,11 +77,9 @@
         servers: Servers::new(limit as usize),
         clients: Clients::default(),
         reports: VecDeque::new(),
-        peers: HashMap::new(),
-        siblings,
-        next_key: FIRST_CONN,
+        peers: PeerLinks::new(label, siblings),
+        keys: KeySequence::starting_at(FIRST_CONN),
         node,
-        label,
         state,
         cloud,
         start,
@@ -153,12 +127,12 @@
                 self.on_event(event.key, &mut buf, now.mono, &mut arrived, &mut done);
             }
             self.clients
-                .expire(&self.poller, &mut self.next_key, now.mono, &mut done);
+                .expire(&self.poller, &mut self.keys, now.mono, &mut done);
             self.feed(now, &mut arrived, &mut done);
             if now.mono >= self.node.next_wake() {
                 self.node.tick(now);
             }
-            self.mind_siblings(now.mono);
+            self.peers.tick(&self.poller, &mut self.keys, now.mono);
             self.feed(now, &mut arrived, &mut done);
             self.feed_reports(&mut arrived, &mut done);
             let took_ms = self.now().mono.saturating_sub(now.mono);
@@ -182,33 +156,31 @@
                 let Some(stream) = self.public.accept() else {
                     break;
                 };
-                let key = self.new_key();
+                let key = self.keys.take();
                 if let Ok(conn) = Conn::new(&self.poller, stream, key, false) {
                     self.servers.add(&self.poller, conn, key, now);
                 }
             }
         } else if key == BACK {
             while let Some(stream) = self.back.accept() {
-                let key = self.new_key();
+                let key = self.keys.take();
                 if let Ok(conn) = Conn::new(&self.poller, stream, key, false) {
-                    self.add_peer(key, conn, None, true, now);
+                    self.peers.accept(&self.poller, key, conn, now);
                 }
             }
         } else if self.servers.has(key) {
             self.servers.on_event(&self.poller, key, buf, now, arrived);
         } else if self.clients.has(key) {
             self.clients
-                .on_event(&self.poller, key, buf, &mut self.next_key, now, done);
+                .on_event(&self.poller, key, buf, &mut self.keys, now, done);
         } else {
-            self.on_peer_event(key, buf);
+            for input in self.peers.on_event(&self.poller, key, buf) {
+                let now = self.now();
+                self.node.handle(now, input);
+            }
         }
     }
 
-    fn new_key(&mut self) -> usize {
-        self.next_key += 1;
-        self.next_key - 1
-    }
-
     /// Gives the node what has happened, and carries out what it wants, until nothing is left.
     fn feed(&mut self, now: Now, arrived: &mut Vec<Arrived>, done: &mut Vec<Outcome>) {
         loop {
@@ -301,145 +273,12 @@
                         deadline: now.mono + timeout_ms,
                     };
                     self.clients
-                        .call(&self.poller, call, &mut self.next_key, now.mono, done);
+                        .call(&self.poller, call, &mut self.keys, now.mono, done);
                 }
-                Output::Peer { to, message } => self.say(to.as_deref(), &message),
-            }
-        }
-    }
-
-    fn add_peer(
-        &mut self,
-        key: usize,
-        conn: Conn,
-        label: Option<String>,
-        connected: bool,
-        now: u64,
-    ) {
-        // Few controllers exist; anything beyond that many connections is not one of them.
-        if self.peers.len() > 4 * self.siblings.len() + 8 {
-            return conn.close(&self.poller);
-        }
-        let link = PeerLink {
-            conn,
-            buf: Vec::new(),
-            label,
-            connected,
-            since: now,
-        };
-        self.peers.insert(key, link);
-    }
-
-    fn close_peer(&mut self, key: usize) {
-        let mut connected = false;
-        if let Some(link) = self.peers.remove(&key) {
-            connected = link.connected;
-            link.conn.close(&self.poller);
-        }
-        for s in &mut self.siblings {
-            if s.key == Some(key) {
-                s.key = None;
-                s.broke = connected;
-                if connected {
-                    // At once, to learn whether the process is still there.
-                    s.retry_at = 0;
+                Output::Peer { to, message } => {
+                    self.peers.send(&self.poller, to.as_deref(), &message);
                 }
             }
         }
     }
-
-    fn on_peer_event(&mut self, key: usize, buf: &mut [u8]) {
-        let Some(link) = self.peers.get_mut(&key) else {
-            return;
-        };
-        if !link.connected {
-            if link.conn.connected().is_err() {
-                let gone = self.siblings.iter().find(|s| s.key == Some(key) && s.broke);
-                let from = gone.map(|s| s.label.clone());
-                self.close_peer(key);
-                if let Some(from) = from {
-                    let now = self.now();
-                    self.node.handle(now, Input::PeerRefuses { from });
-                }
-                return;
-            }
-            link.connected = true;
-        }
-        let inbox = &mut link.buf;
-        let open = link.conn.read(buf, |bytes| inbox.extend_from_slice(bytes));
-        let flushed = link.conn.flush(&self.poller);
-        let mut bad = flushed.is_err() || !matches!(open, Ok(true));
-        let mut heard = Vec::new();
-        loop {
-            match decode_frame(&mut link.buf) {
-                Ok(Some(PeerMessage::Hello { node })) => link.label = Some(node),
-                Ok(Some(message)) => match &link.label {
-                    Some(label) => heard.push((label.clone(), message)),
-                    None => bad = true,
-                },
-                Ok(None) => break,
-                Err(why) => {
-                    log::info!("event=peer_bad_frame why={why}");
-                    bad = true;
-                    break;
-                }
-            }
-        }
-        for (from, message) in heard {
-            let now = self.now();
-            self.node.handle(now, Input::Peer { from, message });
-        }
-        if bad {
-            self.close_peer(key);
-        }
-    }
-
-    /// Keeps a connection open to each peer.
-    fn mind_siblings(&mut self, now: u64) {
-        for i in 0..self.siblings.len() {
-            let s = &self.siblings[i];
-            if let Some(key) = s.key {
-                let stuck = self.peers.get(&key).is_none_or(|l| {
-                    (!l.connected && now > l.since + CONNECT_TIMEOUT_MS)
-                        || l.conn.backlog() > PEER_BACKLOG
-                });
-                if stuck {
-                    self.close_peer(key);
-                }
-                continue;
-            }
-            if now < s.retry_at {
-                continue;
-            }
-            let (addr, label) = (s.addr, s.label.clone());
-            self.siblings[i].retry_at = now + PEER_RETRY_MS;
-            let key = self.new_key();
-            if let Ok(mut conn) = Conn::connect(&self.poller, addr, key) {
-                let node = self.label.clone();
-                encode_frame(conn.out(), &PeerMessage::Hello { node });
-                self.add_peer(key, conn, Some(label), false, now);
-                self.siblings[i].key = Some(key);
-            }
-        }
-    }
-
-    fn say(&mut self, to: Option<&str>, message: &PeerMessage) {
-        let mut frame = Vec::new();
-        encode_frame(&mut frame, message);
-        let keys: Vec<usize> = self
-            .siblings
-            .iter()
-            .filter(|s| to.is_none_or(|label| label == s.label))
-            .filter_map(|s| s.key)
-            .collect();
-        for key in keys {
-            let Some(link) = self.peers.get_mut(&key) else {
-                continue;
-            };
-            link.conn.out().extend_from_slice(&frame);
-            if link.connected && link.conn.flush(&self.poller).is_err() {
-                self.close_peer(key);
-            }
-        }
-    }
 }
--- a/crates/vetchmount/src/main.rs
+++ b/crates/vetchmount/src/main.rs
@@ -3,6 +3,7 @@
 mod clients;
 mod daemon;
 mod net;
+mod peer_links;
 mod servers;
 mod settings;
 
--- a/crates/vetchmount/src/net.rs
+++ b/crates/vetchmount/src/net.rs
@@ -129,6 +129,24 @@
     unsafe { poller.add_with_mode(stream, event, PollMode::Level) }
 }
 
+/// Gives out keys of the poller, each once.
+pub struct KeySequence {
+    next: usize,
+}
+
+impl KeySequence {
+    /// The first key that is given out.
+    pub fn starting_at(first: usize) -> Self {
+        KeySequence { next: first }
+    }
+
+    /// A key that nothing else has.
+    pub fn take(&mut self) -> usize {
+        self.next += 1;
+        self.next - 1
+    }
+}
+
 /// A listening socket known to the poller under a key.
 pub struct Listener {
     inner: TcpListener,
