--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -36,6 +36,12 @@
 /// Milliseconds without workers, while a peer hears some, after which a leader resigns: two heartbeats of a peer that
 /// count as fresh.
 pub const WITHOUT_WORKERS_MS: u64 = 2 * PEER_FRESH_MS;
+/// Milliseconds until a node whose gateway is busy wakes up at the latest.
+pub const GATEWAY_WAKE_MS: u64 = 200;
+/// Milliseconds between checks for calls whose deadline has passed.
+pub const DEADLINE_CHECK_MS: u64 = 200;
+/// Milliseconds until a node with pending reports wakes up at the latest.
+pub const PENDING_WAKE_MS: u64 = 200;
 /// Milliseconds for which a leader that hears no worker waits for a peer to say that it does, until it makes room anyway:
 /// longer than most cuts of all workers.
 pub const UNTOLD_MS: u64 = 20_000;
--- a/crates/control/src/forwarding.rs
+++ b/crates/control/src/forwarding.rs
@@ -5,7 +5,9 @@
 //! that are kept apart from those of its own sockets.
 
 use crate::mail::{Mail, Output, RequestId};
-use constants::{REPORT_FORWARD_MS, RETRY_AFTER_S, USER_DEADLINE_MS, USER_INFLIGHT};
+use constants::{
+    DEADLINE_CHECK_MS, REPORT_FORWARD_MS, RETRY_AFTER_S, USER_DEADLINE_MS, USER_INFLIGHT,
+};
 use std::collections::HashMap;
 use wire::peers::PeerMessage;
 
@@ -15,9 +17,6 @@
 /// Where the ids of requests from peers begin, apart from those of our own sockets.
 const FIRST_PEER_REQUEST: RequestId = 1 << 62;
 
-/// Milliseconds between checks for calls whose deadline has passed.
-const DEADLINE_CHECK_MS: u64 = 200;
-
 /// An HTTP request as it came.
 #[derive(Clone, Copy)]
 pub(crate) struct HttpRequest<'a> {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -47,9 +47,6 @@
     last_tick: u64,
 }
 
-/// Milliseconds until a node whose gateway is busy wakes up at the latest.
-const GATEWAY_WAKE_MS: u64 = 200;
-
 impl Node {
     /// A node that has just started. `boot` is drawn at random for each start; `stopwatch` measures rounds.
     pub fn new(
--- a/crates/control/src/pending_reports.rs
+++ b/crates/control/src/pending_reports.rs
@@ -6,10 +6,7 @@
 
 use crate::leader::{Held, Leader};
 use crate::mail::{Mail, RequestId};
-use constants::{LIMBO_A_TURN, LIMBO_LOOK_MS, LIMBO_MS, LOADING_MS, RELEASE_MS};
-
-/// Milliseconds until a node with pending reports wakes up at the latest.
-const PENDING_WAKE_MS: u64 = 200;
+use constants::{LIMBO_A_TURN, LIMBO_LOOK_MS, LIMBO_MS, LOADING_MS, PENDING_WAKE_MS, RELEASE_MS};
 
 /// What a node knows of the leader, as far as pending reports are concerned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
