--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -362,8 +362,15 @@
 pub const CLIENT_QUEUE: usize = 128;
 /// Milliseconds to establish a connection.
 pub const CONNECT_TIMEOUT_MS: u64 = 1_000;
-/// Share of the sockets allowed that callers may hold; the rest is for our own calls and peers.
+/// Share of the sockets allowed that callers may hold in any case; the rest is for our own calls and peers.
 pub const SERVER_SOCKET_SHARE: f64 = 0.8;
+/// Sockets kept for our own calls and peers where that is less than the rest of the share: [`CLIENT_CONNS`] each for the
+/// state service and the cloud, two a peer, and direct orders, of which the leader sends some 20 a second and whose
+/// connections stay for [`IDLE_CLIENT_MS`].
+pub const OWN_SOCKETS: usize = 256;
+/// Share of the callers' sockets in use from which a worker's connection is closed after each answer, so that more
+/// workers than there are sockets take turns instead of some being refused until their leases end.
+pub const CROWDED_SHARE: f64 = 0.95;
 /// Milliseconds an idle connection of a caller other than a worker is kept when sockets run short: users come
 /// back every few seconds and can connect anew, a worker that can't loses its lease.
 pub const IDLE_CONN_MS: u64 = 1_000;
--- a/crates/control/src/heartbeat.rs
+++ b/crates/control/src/heartbeat.rs
@@ -9,7 +9,7 @@
 use crate::mail::{Mail, Output};
 use crate::peers::Peers;
 use crate::state::StateClient;
-use constants::{COUNTS_MS, PEER_BEAT_MS};
+use constants::{COUNTS_MS, NEWS_MAX, PEER_BEAT_MS};
 use wire::peers::PeerMessage;
 use wire::records::Final;
 
@@ -136,14 +136,15 @@
     }
 
     fn send_ended_jobs(&mut self, mail: &mut Mail) {
-        if self.ended_jobs.is_empty() {
-            return;
+        let ended = std::mem::take(&mut self.ended_jobs);
+        // A message beyond the size of a frame would not be sent at all.
+        for jobs in ended.chunks(NEWS_MAX) {
+            let jobs = jobs.to_vec();
+            mail.out.push(Output::Peer {
+                to: None,
+                message: PeerMessage::Over { jobs },
+            });
         }
-        let jobs = std::mem::take(&mut self.ended_jobs);
-        mail.out.push(Output::Peer {
-            to: None,
-            message: PeerMessage::Over { jobs },
-        });
     }
 }
 
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -397,17 +397,22 @@
         if !finished {
             self.passed = blocked.into_iter().map(|j| names[j].clone()).collect();
         }
-        if !finished || decided - started > ROUND_LEAST_MS * 1000 {
-            log::info!(
+        let is_long = !finished || decided - started > ROUND_LEAST_MS * 1000;
+        let level = match is_long {
+            true => log::Level::Info,
+            false => log::Level::Debug,
+        };
+        log::log!(
+            level,
                 "event=round finished={finished} view_ms={} decide_ms={} decisions={} jobs={} waiting={waiting} \
-                 machines={} running={running}",
+                 machines={} running={running} took_us={}",
                 (viewed - started) / 1000,
                 (decided - viewed) / 1000,
                 decisions.len(),
                 names.len(),
-                machines.len()
-            );
-        }
+                machines.len(),
+                decided - started
+        );
         for job in self.jobs.values_mut() {
             job.kept.clear();
         }
--- a/crates/fakes/src/cloud.rs
+++ b/crates/fakes/src/cloud.rs
@@ -95,10 +95,29 @@
                 machines.extend(
                     booting.map(|(n, (_, r))| list(n, &r.zone, r.spot, MachinePhase::Booting)),
                 );
+                let (from, limit) = list_range(path);
+                machines.retain(|m| m.id.as_str() > from);
                 machines.sort_by(|a, b| a.id.cmp(&b.id));
-                let more = false;
+                let more = machines.len() > limit;
+                machines.truncate(limit);
+                self.listed_pages += 1;
                 (200, wire::encode(&MachineList { machines, more }))
             }
         }
     }
 }
+
+/// Machines on a page of the list at most, whatever is asked for.
+const PAGE_OF_LIST: usize = 500;
+
+/// After which machine a page of the list begins, and how many it may hold.
+fn list_range(path: &str) -> (&str, usize) {
+    let query = path.split_once('?').map_or("", |(_, query)| query);
+    let value = |name: &str| {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(n, _)| *n == name).map(|(_, value)| value)
+    };
+    let limit = value("limit").and_then(|text| text.parse().ok());
+    let limit = limit.unwrap_or(PAGE_OF_LIST).min(PAGE_OF_LIST);
+    (value("from").unwrap_or_default(), limit)
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -115,6 +115,10 @@
     pub broken: Vec<String>,
     /// Rental requests the cloud executed.
     pub rentals: Vec<String>,
+    /// Microseconds of the stopwatch that each turn of a node took, if they are to be kept.
+    pub turns_us: Option<Vec<u64>>,
+    /// Pages of its machine list that the cloud has served.
+    pub listed_pages: u64,
     /// Milliseconds until a rented machine is up.
     pub boot_ms: RangeInclusive<u64>,
     /// Further troubles.
@@ -205,6 +209,8 @@
             cancelled: BTreeMap::new(),
             broken: Vec::new(),
             rentals: Vec::new(),
+            turns_us: None,
+            listed_pages: 0,
             boot_ms: 2_000..=2_000,
             troubles: Troubles::default(),
             rules: Rules::default(),
@@ -367,7 +373,9 @@
             if let Some(node) = &mut self.nodes[i].node {
                 if now.mono >= node.next_wake() {
                     self.ticks += 1;
+                    let started = (self.stopwatch)();
                     node.tick(now);
+                    note_turn(&mut self.turns_us, started, self.stopwatch);
                 }
             }
             self.drain(i);
@@ -538,7 +546,9 @@
                 let slot = &mut self.nodes[i];
                 if slot.life == life {
                     if let Some(node) = &mut slot.node {
+                        let started = (self.stopwatch)();
                         node.handle(now, input);
+                        note_turn(&mut self.turns_us, started, self.stopwatch);
                     }
                 }
                 self.drain(i);
@@ -920,6 +930,12 @@
     }
 }
 
+fn note_turn(turns_us: &mut Option<Vec<u64>>, started: u64, stopwatch: control::Stopwatch) {
+    if let Some(turns) = turns_us {
+        turns.push(stopwatch().saturating_sub(started));
+    }
+}
+
 fn limits_of(limits: &control::settings::Limits) -> FakeLimits {
     FakeLimits {
         value_bytes: limits.value_bytes,
--- a/crates/vetchmount/src/daemon.rs
+++ b/crates/vetchmount/src/daemon.rs
@@ -56,7 +56,7 @@
             Ok((s.label.clone(), addr))
         })
         .collect::<Result<Vec<_>, String>>()?;
-    let limit = settings.deployment.quota.max_connections as f64 * SERVER_SOCKET_SHARE;
+    let sockets = settings.deployment.quota.max_connections;
     let start = Instant::now();
     let boot = fastrand::u64(..) >> 12;
     let label = settings.label.clone();
@@ -74,7 +74,7 @@
         poller,
         public,
         back,
-        servers: Servers::new(limit as usize),
+        servers: Servers::new(sockets),
         clients: Clients::default(),
         reports: VecDeque::new(),
         peers: PeerLinks::new(label, siblings),
--- a/crates/vetchmount/src/servers.rs
+++ b/crates/vetchmount/src/servers.rs
@@ -33,16 +33,21 @@
     by_request: HashMap<u64, usize>,
     next_request: u64,
     limit: usize,
+    /// Connections from which on workers' are closed after each answer.
+    crowded: usize,
 }
 
 impl Servers {
-    /// Room for that many.
-    pub fn new(limit: usize) -> Self {
+    /// Callers' part of the `sockets` that the process may hold.
+    pub fn new(sockets: usize) -> Self {
+        let share = (sockets as f64 * SERVER_SOCKET_SHARE) as usize;
+        let limit = share.max(sockets.saturating_sub(OWN_SOCKETS));
         Servers {
             conns: HashMap::new(),
             by_request: HashMap::new(),
             next_request: 0,
             limit,
+            crowded: (limit as f64 * CROWDED_SHARE) as usize,
         }
     }
 
@@ -164,10 +169,12 @@
         let Some(key) = self.by_request.remove(&id) else {
             return;
         };
+        let is_crowded = self.conns.len() >= self.crowded;
         let Some(s) = self.conns.get_mut(&key) else {
             return;
         };
-        let close = s.open.take().is_some_and(|(_, close)| close);
+        let asked_to_close = s.open.take().is_some_and(|(_, close)| close);
+        let close = asked_to_close || (s.worker && is_crowded);
         encode_response(s.conn.out(), status, retry_after_s, body, close);
         s.closing |= close;
         let failed = s.conn.flush(poller).is_err();
