Proofs and single readings take turns at the rate of questions

Each controller may send ten questions a second to the state service; proofs of many answers go before single readings, and at that size there was always a proof to send. Jobs of pipelines that wait need readings first, so no question about them was answered. Change: of the two the one that was not sent last goes next. The test fails without it.

--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -149,6 +149,8 @@
     /// Rate and burst that bookkeeping may have, what share of the rate it takes, and when that was reckoned.
     books: (f64, f64),
     strain: (f64, u64),
+    /// Of the two that share the rate of questions, a single reading goes next: the last one was a proof.
+    reading_is_next: bool,
     wake: Option<u64>,
     last_good: u64,
     last_bad: u64,
@@ -203,6 +205,7 @@
             paused_until: 0,
             books: shares.book_writes,
             strain: (1.0, 0),
+            reading_is_next: false,
             wake: None,
             last_good: 0,
             last_bad: 0,
@@ -269,7 +272,7 @@
         let now = mail.now.mono;
         self.wake = None;
         self.ease(now, false);
-        for priority in Priority::ALL {
+        for priority in self.order() {
             let queue = priority as usize;
             while let Some(first) = self.queues[queue].front() {
                 if priority.is_for_user() && now > first.since + USER_DEADLINE_MS {
@@ -292,6 +295,11 @@
                 self.requests.level -= 1.0;
                 let (own, amount) = self.own_bucket(priority, writes);
                 own.level -= amount;
+                self.reading_is_next = match priority {
+                    Priority::Proof => true,
+                    Priority::Question => false,
+                    _ => self.reading_is_next,
+                };
                 if let Some(w) = self.queues[queue].pop_front() {
                     *next_call += 1;
                     mail.out.push(call_of(&w.op, *next_call));
@@ -301,6 +309,18 @@
         }
     }
 
+    /// The order in which to look at what waits. Proofs and single readings share a rate and take turns at it: with 4,000
+    /// machines there was always a proof to send, and a question that needs readings first, about a job that waits for
+    /// others, was never answered.
+    fn order(&self) -> [Priority; Priority::ALL.len()] {
+        let mut order = Priority::ALL;
+        if self.reading_is_next {
+            let last = order.len() - 1;
+            order.swap(last - 1, last);
+        }
+        order
+    }
+
     /// The rate that a priority has to itself, and what a request takes of it.
     ///
     /// With one rate for all, users' questions, which go before the books, left the books nothing during a flood, and
--- a/crates/control/src/state/tests.rs
+++ b/crates/control/src/state/tests.rs
@@ -81,3 +81,39 @@
         assert!((sent.iter().sum::<usize>() as f64) < rps, "{sent:?}");
     }
 }
+
+/// There is always a proof to send: each leaves another one behind. A question that needs a reading is sent all the same.
+#[test]
+fn proofs_without_end_leave_single_readings_their_turn() {
+    let mut client = StateClient::new(100.0, 25.0, 5);
+    let proof = || StateOp::Txn(Txn::default());
+    let (mut call, mut expired) = (0, Vec::new());
+    let (mut proofs, mut readings) = (0, 0);
+    for step in 0..400 {
+        let now = Now {
+            mono: 1_000 + 10 * step,
+            unix: 0,
+        };
+        let waits = |client: &StateClient, p: Priority| !client.queues[p as usize].is_empty();
+        if !waits(&client, Priority::Proof) {
+            client.push(now, Priority::Proof, proof(), StateTag::Proof(step));
+        }
+        if step.is_multiple_of(10) && !waits(&client, Priority::Question) {
+            let reading = StateOp::Get("j/run-1".into());
+            client.push(now, Priority::Question, reading, StateTag::User(step));
+        }
+        let mut mail = Mail::new(now);
+        client.pump(&mut call, &mut mail, &mut expired);
+        for output in mail.out {
+            match output {
+                Output::Call { method: "GET", .. } => readings += 1,
+                Output::Call { .. } => proofs += 1,
+                _ => {}
+            }
+        }
+    }
+    // Ten a second for both, in four seconds.
+    assert!((15..=25).contains(&readings), "{readings} readings");
+    assert!((15..=35).contains(&proofs), "{proofs} proofs");
+    assert!(expired.is_empty());
+}
