--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -115,6 +115,35 @@
 pub const SMALL_FILL: f64 = 0.94;
 /// Milliseconds between looks at which version the other nodes run, until all are known to run this one.
 pub const GENERATION_POLL_MS: u64 = 1_500;
+/// Milliseconds between looks at the cluster's feature level while no upgrade is under way.
+pub const LEVEL_POLL_MS: u64 = 5_000;
+/// Milliseconds for which a new process is heard until it must be a build that announces no feature levels: a process that
+/// does announces within its first second, unless the state service refuses it.
+pub const ANNOUNCE_GRACE_MS: u64 = 10_000;
+/// Milliseconds in which restarts of a controller are counted.
+pub const RESTART_WINDOW_MS: u64 = 120_000;
+/// Restarts of a controller in that time beyond which an upgrade is paused: an upgrade, its rollback and the next upgrade
+/// are three.
+pub const RESTARTS_IN_WINDOW: usize = 3;
+/// Milliseconds without a restart after which what paused an upgrade counts as over.
+pub const CALM_MS: u64 = 30_000;
+/// Milliseconds that a build leaves the election to newer ones, which need no further restart: two looks of a follower.
+pub const ELECTION_DEFER_MS: u64 = 1_200;
+/// Milliseconds between looks at the leader key by a successor that was named.
+pub const HANDOVER_POLL_MS: u64 = 40;
+/// Milliseconds for which it looks so often.
+pub const HANDOVER_MS: u64 = 1_500;
+/// Milliseconds for which a leader that is to stop waits for its transactions before it hands over.
+pub const HANDOVER_DRAIN_MS: u64 = 600;
+/// Milliseconds that an orderly stop may take: less than it takes the load balancer to notice, so that what comes
+/// meanwhile is refused with `Retry-After` and not cut off.
+pub const STOP_MS: u64 = 3_000;
+/// Milliseconds between two log lines about an upgrade that waits.
+pub const ROLLOUT_LOG_MS: u64 = 60_000;
+/// Seconds that a level is active without trouble until it is finalized, unless operators say otherwise.
+pub const SOAK_S: f64 = 3_600.0;
+/// Seconds without progress after which an upgrade is paused, unless operators say otherwise.
+pub const STALL_S: f64 = 3_600.0;
 /// Records at most that hold what does not fit into an open job's own; they go with it in one transaction.
 pub const MORE_RECORDS: usize = 2;
 /// Jobs of a pipeline cancelled in memory in a turn, so that a cascade of any size leaves time for all else.
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -18,6 +18,26 @@
     Quit,
 }
 
+/// What the node says of elections.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub(crate) struct ElectionRules {
+    /// Whether this process may stand.
+    pub may_stand: bool,
+    /// The feature level that its record names, if it may name one.
+    pub level: Option<u32>,
+    /// Conditions of its election besides those of every other: what it has read of the cluster's level still holds.
+    pub conditions: Vec<Guard>,
+    /// Milliseconds for which a vacancy is left to newer builds.
+    pub defer_ms: u64,
+}
+
+/// A hand-over that was announced to us.
+#[derive(Debug, Clone, Copy)]
+struct Handover {
+    term: u64,
+    until: u64,
+}
+
 enum Role {
     Follower,
     /// Running for leader: the lease and the term aimed at.
@@ -25,6 +45,8 @@
         lead_version: u64,
         term: u64,
         term_version: u64,
+        /// The record of the term as it was read, if there was one.
+        last_term: Option<TermRecord>,
         lease: Option<u64>,
         since: u64,
     },
@@ -55,6 +77,10 @@
     highest_term: u64,
     /// When this process went on after it had stood still; 0 if it never did.
     resumed_at: u64,
+    rules: ElectionRules,
+    /// Since when nobody leads, as far as was seen.
+    vacant_since: Option<u64>,
+    handover: Option<Handover>,
     rng: fastrand::Rng,
 }
 
@@ -74,6 +100,12 @@
             ended_term: 0,
             highest_term: 0,
             resumed_at: 0,
+            rules: ElectionRules {
+                may_stand: true,
+                ..ElectionRules::default()
+            },
+            vacant_since: None,
+            handover: None,
             rng: fastrand::Rng::with_seed(boot),
         }
     }
@@ -105,6 +137,27 @@
         }
     }
 
+    /// What holds from now on. A leader that may not take part any more makes room.
+    pub fn follow(&mut self, rules: ElectionRules) {
+        self.rules = rules;
+    }
+
+    /// The leader stops as planned, and names us its successor: the vacancy is looked for until it is there.
+    pub fn on_handover(&mut self, from: &str, term: u64, mail: &mut Mail) {
+        let leads = self.known.as_ref();
+        let is_leader = leads.is_none_or(|(record, _)| record.node == from && record.term == term);
+        if !is_leader || term < self.highest_term || self.leads().is_some() {
+            return;
+        }
+        log::info!("event=named_successor by={from} term={term}");
+        let now = mail.now.mono;
+        let until = now + HANDOVER_MS;
+        self.handover = Some(Handover { term, until });
+        self.round += 1;
+        self.busy_until = 0;
+        self.next_at = now;
+    }
+
     pub fn highest_term(&self) -> u64 {
         self.highest_term
     }
@@ -217,6 +270,8 @@
                 } else {
                     LEADER_POLL_MS
                 };
+                let is_named = self.handover.is_some_and(|h| now < h.until);
+                let pause = if is_named { HANDOVER_POLL_MS } else { pause };
                 self.next_at = now + pause;
                 let round = self.round;
                 self.ask(StateOp::Get(LEADER.into()), Step::Poll(round), mail);
@@ -267,6 +322,10 @@
                     return;
                 };
                 self.highest_term = self.highest_term.max(record.term);
+                self.vacant_since = None;
+                if self.handover.is_some_and(|h| record.term > h.term) {
+                    self.handover = None;
+                }
                 if record.node != self.label {
                     self.role = Role::Follower;
                     if self.known.as_ref().is_none_or(|(r, _)| *r != record) {
@@ -276,20 +335,27 @@
                     self.known_lease = item.lease;
                 } else if record.boot == self.boot {
                     self.found_ourselves(record, &item, mail);
-                } else if now >= self.paused_until {
+                } else if self.may_stand(now) {
                     // Our own earlier process, which is gone: nobody needs to wait for its lease.
                     self.stand(item.version, mail);
                 }
             }
-            StateReply::Missing if now >= self.paused_until => {
+            StateReply::Missing if self.may_stand(now) => {
                 self.known = None;
-                self.stand(0, mail);
+                let since = *self.vacant_since.get_or_insert(now);
+                if self.handover.is_some() || now >= since + self.rules.defer_ms {
+                    self.stand(0, mail);
+                }
             }
             StateReply::Missing => self.known = None,
             _ => {}
         }
     }
 
+    fn may_stand(&self, now: u64) -> bool {
+        self.rules.may_stand && now >= self.paused_until
+    }
+
     /// The answer to our candidacy was lost, but it succeeded.
     fn found_ourselves(&mut self, record: LeaderRecord, item: &Item, mail: &mut Mail) {
         let lease = match self.role {
@@ -311,6 +377,7 @@
             lead_version,
             term: 0,
             term_version: 0,
+            last_term: None,
             lease: None,
             since: mail.now.mono,
         };
@@ -319,23 +386,28 @@
     }
 
     fn on_term(&mut self, reply: StateReply, mail: &mut Mail) {
-        let (last, version) = match reply {
+        let (record, version) = match reply {
             StateReply::Item(item) => match item.value.deserialized::<TermRecord>() {
-                Ok(record) => (record.term, item.version),
+                Ok(record) => (Some(record), item.version),
                 Err(_) => {
                     log::error!("event=term_record_unreadable version={}", item.version);
                     return self.again(mail);
                 }
             },
-            StateReply::Missing => (0, 0),
+            StateReply::Missing => (None, 0),
             _ => return self.again(mail),
         };
+        let last = record.as_ref().map_or(0, |r| r.term);
         let next = last.max(self.highest_term) + 1;
         if let Role::Candidate {
-            term, term_version, ..
+            term,
+            term_version,
+            last_term,
+            ..
         } = &mut self.role
         {
             (*term, *term_version) = (next, version);
+            *last_term = record;
             let round = self.round;
             let ttl_ms = LEADER_LEASE_MS;
             self.ask(StateOp::Grant { ttl_ms }, Step::Grant(round), mail);
@@ -350,6 +422,7 @@
             lead_version,
             term,
             term_version,
+            last_term,
             lease,
             since,
         } = &mut self.role
@@ -364,19 +437,30 @@
             node: self.label.clone(),
             term: *term,
             boot: self.boot,
+            level: self.rules.level,
         };
+        // The layout that was read: once it is the fenced one it stays so.
+        let next_term = match last_term.take() {
+            Some(last) => TermRecord {
+                term: *term,
+                ..last
+            },
+            None => TermRecord::new(*term),
+        };
+        let mut guards = vec![
+            Guard::new(LEADER, *lead_version),
+            Guard::new(TERM, *term_version),
+        ];
+        guards.extend(self.rules.conditions.iter().cloned());
         let txn = Txn {
-            guards: vec![
-                Guard::new(LEADER, *lead_version),
-                Guard::new(TERM, *term_version),
-            ],
+            guards,
             writes: vec![
                 Write::Put {
                     key: LEADER.into(),
                     value: wire::state::to_value(&record),
                     lease: Some(id),
                 },
-                Write::put(TERM, &TermRecord { term: *term }),
+                Write::put(TERM, &next_term),
             ],
         };
         *since = mail.now.mono;
@@ -399,6 +483,14 @@
                 // The role is kept: the next poll may find that we were elected.
                 self.again(mail);
             }
+            StateReply::Conflict { failed } if self.was_outdated(&failed) => {
+                // A controller has announced itself meanwhile, most often: the level is read again first.
+                self.role = Role::Follower;
+                self.rules.may_stand = false;
+                mail.news.push(News::LevelChanged);
+                self.next_at = mail.now.mono + HANDOVER_POLL_MS;
+                self.busy_until = 0;
+            }
             _ => {
                 self.role = Role::Follower;
                 self.again(mail);
@@ -406,6 +498,12 @@
         }
     }
 
+    /// Whether what the election rested on besides leader and term has changed.
+    fn was_outdated(&self, failed: &[String]) -> bool {
+        let mut conditions = self.rules.conditions.iter();
+        conditions.any(|guard| failed.contains(&guard.key))
+    }
+
     fn win(&mut self, term: u64, lease: u64, version: u64, mail: &mut Mail) {
         // The lease may have been granted a while ago: it counts as fresh only once it is renewed.
         self.role = Role::Leader {
@@ -415,6 +513,8 @@
         };
         self.highest_term = term;
         self.known = None;
+        self.vacant_since = None;
+        self.handover = None;
         self.round += 1;
         self.busy_until = 0;
         self.next_at = mail.now.mono;
--- a/crates/control/src/gateway/records.rs
+++ b/crates/control/src/gateway/records.rs
@@ -24,24 +24,14 @@
         else {
             return false;
         };
-        let record = JobRecord {
-            spec: (**s).clone(),
-            at: u64::MAX >> 11,
-            aborted: false,
-            more: 0,
-        };
+        let record = JobRecord::new((**s).clone(), u64::MAX >> 11);
         wire::json_bytes(&record) > self.least.value_bytes
     }
 
     /// The writes that keep a submission. Machine types that do not fit go into further records.
     pub(super) fn draft(&self, spec: &Submission, at: u64) -> Result<Vec<Write>, String> {
         let limits = self.limits_for(spec);
-        let mut record = JobRecord {
-            spec: spec.clone(),
-            at,
-            aborted: false,
-            more: 0,
-        };
+        let mut record = JobRecord::new(spec.clone(), at);
         let key = job_key(&spec.id);
         // Room for the mark of a cancellation, which is written into the same record.
         let bytes = wire::json_bytes(&record) + 16;
--- a/crates/control/src/leader/books/tests.rs
+++ b/crates/control/src/leader/books/tests.rs
@@ -12,12 +12,7 @@
         "stow_every_s":0,"stow_s":0}"#,
     )
     .expect("submission");
-    let record = JobRecord {
-        spec,
-        at: 0,
-        aborted: false,
-        more: 0,
-    };
+    let record = JobRecord::new(spec, 0);
     let mut job = Job::new(record, 1);
     for task in [0, 31, 32, 130, 299] {
         job.put(task, "vm-1", 1, false, 0);
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -376,6 +376,11 @@
         self.flush(mail);
     }
 
+    /// Whether transactions have been sent whose outcome is not known yet.
+    pub fn has_writes_in_flight(&self) -> bool {
+        !self.flights.is_empty()
+    }
+
     /// Whether today's limits allow a transaction that those to come do not.
     fn fits_only_today(&self, txn: &Txn) -> bool {
         let state = &self.settings.deployment.state;
--- a/crates/control/src/leader/tests.rs
+++ b/crates/control/src/leader/tests.rs
@@ -49,12 +49,7 @@
 
 /// An open job with places for the first so many tasks, none of them recorded yet.
 fn place(leader: &mut Leader, id: &str, tasks: u32) {
-    let record = JobRecord {
-        spec: serde_json::from_str(SUBMISSION).expect("submission"),
-        at: 0,
-        aborted: false,
-        more: 0,
-    };
+    let record = JobRecord::new(serde_json::from_str(SUBMISSION).expect("submission"), 0);
     let mut job = Job::new(record, 5);
     job.split();
     (0..tasks).for_each(|t| job.put(t, &format!("vm-{t:06}"), 1, false, 0));
@@ -185,12 +180,7 @@
 fn after_reading_all_jobs_again_the_watch_goes_on_from_the_first_page() {
     let mut leader = leader();
     let page = |revision: u64, more: bool| {
-        let record = JobRecord {
-            spec: serde_json::from_str(SUBMISSION).expect("submission"),
-            at: 0,
-            aborted: false,
-            more: 0,
-        };
+        let record = JobRecord::new(serde_json::from_str(SUBMISSION).expect("submission"), 0);
         let item = Item {
             key: job_key("run-1"),
             value: wire::state::to_value(&record),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,7 +1,7 @@
 //! The controller, without I/O: actors that own their state and are spoken to by messages.
 //!
 //! [`Node`] is the whole of one controller. It is fed [`Input`]s and the time, and yields [`Output`]s. Inside,
-//! the state client, the election, the gateway for users, the upgrade, the leader's books and the cloud client each
+//! the state client, the election, the gateway for users, upgrades, the leader's books and the cloud client each
 //! own what they know; `mail::Mail` carries what they say to each other. What a node does besides for its peers and for
 //! workers is in modules of their own too: `forwarding`, `pending_reports`, `heartbeat`, `leadership_watch`.
 
@@ -18,10 +18,11 @@
 mod node;
 mod peers;
 mod pending_reports;
+mod rollout;
 pub mod settings;
 mod state;
-mod upgrade;
 
+pub use ::rollout::{ControllerStatus, RolloutStatus};
 pub use mail::{CallError, CallId, Input, Now, Output, RequestId, Target};
 pub use node::Node;
 pub use settings::{Operator, Settings};
--- a/crates/control/src/mail.rs
+++ b/crates/control/src/mail.rs
@@ -72,6 +72,8 @@
         /// What it says.
         message: PeerMessage,
     },
+    /// The process is asked to stop.
+    Stop,
 }
 
 /// What a node does.
@@ -122,7 +124,8 @@
     /// Search for many ids at once that nothing is known of.
     Unheard(u64),
     Types,
-    Upgrade,
+    /// The upgrade, with the number of its request.
+    Rollout(u64),
     Leader(u64, crate::leader::Ask),
 }
 
@@ -147,6 +150,8 @@
     Upgraded,
     /// Something shows that the upgrade is over.
     Proven(&'static str),
+    /// A write found the cluster's feature level changed.
+    LevelChanged,
     /// Machine types were read or changed.
     Types(Vec<wire::cloud::MachineType>),
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,9 +1,10 @@
 //! One controller: routes what comes in to its actors, and what they say to each other.
 
+mod planned_stop;
 mod standstill;
 
 use crate::cloud::CloudClient;
-use crate::election::Election;
+use crate::election::{Election, ElectionRules};
 use crate::forwarding::{ForwardedRequests, HttpRequest, REPORT_PATH};
 use crate::gateway::Gateway;
 use crate::heartbeat::{process_base, Heartbeat};
@@ -13,9 +14,10 @@
 use crate::mail::*;
 use crate::peers::{PeerState, Peers};
 use crate::pending_reports::{HeldAnswers, LeaderStatus, PendingReports};
+use crate::rollout::Rollout;
 use crate::settings::{Operator, Settings};
 use crate::state::{StateClient, StateReply};
-use crate::upgrade::Upgrade;
+use ::rollout::RolloutStatus;
 use constants::*;
 use std::collections::VecDeque;
 use wire::peers::PeerMessage;
@@ -31,7 +33,8 @@
     cloud: CloudClient,
     election: Election,
     gateway: Gateway,
-    upgrade: Upgrade,
+    rollout: Rollout,
+    planned_stop: Option<planned_stop::PlannedStop>,
     leader: Option<Leader>,
     pending_reports: PendingReports,
     held_answers: HeldAnswers,
@@ -62,10 +65,8 @@
             cloud: CloudClient::new(d.cloud.rps),
             election: Election::new(&settings.label, boot),
             gateway: Gateway::new(d.teams.clone(), &d.state),
-            upgrade: Upgrade::new(
-                &settings.label,
-                settings.siblings.iter().map(|s| s.label.clone()),
-            ),
+            rollout: Rollout::new(&settings, operator.rollout.as_ref(), boot, now.mono),
+            planned_stop: None,
             leader: None,
             pending_reports: PendingReports::new(d.quota.max_connections),
             held_answers: HeldAnswers::default(),
@@ -110,7 +111,8 @@
             self.cloud.next_wake(),
             (!self.gateway.is_idle()).then_some(now + GATEWAY_WAKE_MS),
             Some(self.gateway.next_wake()),
-            Some(self.upgrade.next_wake()),
+            Some(self.rollout.next_wake()),
+            self.stop_wake(),
             self.forwarded.next_wake(now),
             self.pending_reports.next_wake(leader_is_ready, now),
             self.held_answers.next_wake(),
@@ -144,6 +146,7 @@
             Input::Reply { call, result } => self.on_reply(call, &result, &mut mail),
             Input::Peer { from, message } => self.on_peer(&from, message, &mut mail),
             Input::PeerRefuses { from } => self.election.peer_refuses(&from, &mut mail),
+            Input::Stop => self.begin_stop(now),
         }
         self.deliver(mail);
     }
@@ -153,9 +156,16 @@
         self.last_tick = now.mono;
         let mut mail = Mail::new(now);
         self.note_time(now, &mut mail);
+        let leader = self.election.leader_label(now.mono).map(str::to_string);
+        self.rollout.tick(leader.as_deref(), &mut mail);
+        self.election.follow(self.election_rules(now.mono));
         self.election.tick(&mut mail);
         self.gateway.tick(&mut mail);
-        self.upgrade.tick(&mut mail);
+        self.go_on_stopping(&mut mail);
+        if !self.rollout.is_admitted() {
+            self.election
+                .resign("this build may not take part", &mut mail);
+        }
         let active = self.active(now.mono);
         if let Some(leader) = &mut self.leader {
             leader.tick(active, &mut mail);
@@ -199,8 +209,26 @@
         Some(self.peers.aborts_known_until(read))
     }
 
+    /// What holds for this process in elections.
+    fn election_rules(&self, now: u64) -> ElectionRules {
+        ElectionRules {
+            may_stand: self.rollout.may_stand() && self.planned_stop.is_none(),
+            level: self.rollout.leader_level(),
+            conditions: self.rollout.election_conditions(),
+            defer_ms: self.rollout.defers_election_ms(now),
+        }
+    }
+
+    /// The state of a staged upgrade, if those are switched on and it has been read.
+    pub fn rollout_status(&self) -> Option<RolloutStatus> {
+        self.rollout.status(self.last_now.mono)
+    }
+
     /// Whether the leader may decide and start things: its lease holds, and it can't have missed a cancellation long ago.
     fn active(&self, now: u64) -> bool {
+        if self.planned_stop.is_some() {
+            return false;
+        }
         let informed = |until: u64| now < until + INFORMED_MS;
         self.election.lease_holds(now) && self.informed_until().is_some_and(informed)
     }
@@ -237,9 +265,15 @@
             ("GET", "/ready") if self.is_cut_off(mail.now.mono) => {
                 mail.refuse(id, 503, "neither the state service nor a peer is reached");
             }
+            ("GET", "/ready") if !self.takes_requests() => {
+                mail.refuse(id, 503, "this process stops, or may not take part");
+            }
             ("GET", "/ready") => mail.respond(id, 200, Vec::new()),
             ("POST", REPORT_PATH) => self.on_report(id, body, mail),
             (_, "/ready" | REPORT_PATH) => mail.refuse(id, 405, "method not allowed"),
+            _ if !self.takes_requests() => {
+                mail.refuse(id, 503, "this process stops, or may not take part");
+            }
             _ if path == "/submissions" || path.starts_with("/submissions/") => {
                 let now = mail.now.mono;
                 let up = self.state.is_up(now);
@@ -255,6 +289,11 @@
         }
     }
 
+    /// Whether users are served here.
+    fn takes_requests(&self) -> bool {
+        self.rollout.is_admitted() && self.planned_stop.is_none()
+    }
+
     fn on_report(&mut self, id: RequestId, body: &[u8], mail: &mut Mail) {
         let now = mail.now.mono;
         if !ForwardedRequests::is_from_peer(id) {
@@ -377,7 +416,7 @@
             StateTag::User(number) => self.gateway.on_reply(number, reply, mail),
             StateTag::Proof(number) => self.gateway.on_proof(number, reply, mail),
             StateTag::Unheard(number) => self.gateway.on_unheard(number, reply, mail),
-            StateTag::Upgrade => self.upgrade.on_reply(reply, mail),
+            StateTag::Rollout(request) => self.rollout.on_reply(request, reply, mail),
             StateTag::Types => self.machine_types.on_reply(reply, mail),
             StateTag::Leader(term, ask) => {
                 if let Some(leader) = self.leader.as_mut().filter(|l| l.term == term) {
@@ -411,6 +450,7 @@
                     aborts,
                 };
                 self.peers.on_beat(from, beat);
+                self.rollout.on_heartbeat(from, boot, now);
                 self.election.heard_term(term, mail);
             }
             PeerMessage::Aborted { number, job } => {
@@ -448,6 +488,7 @@
             PeerMessage::Forwarded { call, status, body } => {
                 self.forwarded.on_answer(from, call, status, body, mail);
             }
+            PeerMessage::Handover { term } => self.election.on_handover(from, term, mail),
         }
     }
 
@@ -521,7 +562,7 @@
                     self.stopwatch,
                     term,
                     version,
-                    self.upgrade.is_over(),
+                    self.rollout.has_small_values(),
                     mail.now,
                 );
                 for job in self.gateway.known_cancelled() {
@@ -545,7 +586,8 @@
                 self.out.push_back(self.heartbeat.on_cancellation(job));
             }
             News::JobOver(job, end) => self.heartbeat.on_job_ended(job, end),
-            News::Proven(why) => self.upgrade.proven(why, mail),
+            News::Proven(why) => self.rollout.proven(why, mail),
+            News::LevelChanged => self.rollout.read_anew(mail.now.mono),
             News::Upgraded => {
                 let least = self.settings.deployment.state.least();
                 self.state.hold_to(least.rps, least.write_rps);
--- a/crates/control/src/node/standstill.rs
+++ b/crates/control/src/node/standstill.rs
@@ -18,6 +18,7 @@
         }
         log::info!("event=stood_still stood_ms={stood_ms}");
         self.election.stood_still(now.mono);
+        self.rollout.read_anew(now.mono);
         if let Some(leader) = &mut self.leader {
             leader.stood_still(now.mono);
         }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -103,6 +103,13 @@
             .map(|(l, _)| l.as_str())
     }
 
+    /// All peers that the state service answers.
+    pub fn all_with_state(&self, now: u64) -> impl Iterator<Item = &str> {
+        self.fresh(now)
+            .filter(|(_, p)| p.state_ago_ms < PEER_FRESH_MS)
+            .map(|(label, _)| label.as_str())
+    }
+
     /// Until when every cancellation confirmed by a peer is known here, given that all up to `read` are (by our own
     /// reading of the records, dated by when it was sent). Notices and beats of a process come in order, so a beat
     /// vouches for the time it was sent, if no notice has been missed since before `read`.
--- a/crates/control/src/pending_reports.rs
+++ b/crates/control/src/pending_reports.rs
@@ -119,6 +119,10 @@
         self.answers.push(HeldAnswer { id, held });
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.answers.is_empty()
+    }
+
     /// When they are to be looked at again.
     pub fn next_wake(&self) -> Option<u64> {
         (!self.answers.is_empty()).then_some(self.next_check)
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -322,6 +322,59 @@
     /// Seconds a machine idles before it is given back, where the objectives ask about money.
     #[schemars(range(min = 0.0))]
     pub idle_return_s: f64,
+    /// Staged upgrades; without it they are off.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub rollout: Option<RolloutSettings>,
+}
+
+/// When a feature level becomes final.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize, schemars::JsonSchema,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Finalization {
+    /// Once it has soaked without trouble.
+    Automatic,
+    /// Not at all: every upgrade stays reversible.
+    #[default]
+    Held,
+}
+
+/// How staged upgrades go.
+#[derive(Debug, Clone, Serialize, Deserialize, schemars::JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct RolloutSettings {
+    /// Oldest feature level that this controller announces.
+    pub oldest_level: u32,
+    /// Newest feature level that this controller announces: below that of its build, it is held to what an older one does.
+    pub newest_level: u32,
+    /// When a level becomes final.
+    pub finalize: Finalization,
+    /// Seconds for which a level is active without trouble until then.
+    #[schemars(range(min = 0.0, max = 10_000_000.0))]
+    pub soak_s: f64,
+    /// Seconds without progress after which an upgrade is paused.
+    #[schemars(range(min = 1.0, max = 10_000_000.0))]
+    pub stall_s: f64,
+}
+
+impl Default for RolloutSettings {
+    fn default() -> Self {
+        RolloutSettings {
+            oldest_level: rollout::LevelRange::BUILD.oldest(),
+            newest_level: rollout::LevelRange::BUILD.newest(),
+            finalize: Finalization::default(),
+            soak_s: constants::SOAK_S,
+            stall_s: constants::STALL_S,
+        }
+    }
+}
+
+impl RolloutSettings {
+    /// The levels that this controller announces.
+    pub fn range(&self) -> Result<rollout::LevelRange, rollout::levels::RangeError> {
+        rollout::LevelRange::held(self.oldest_level, self.newest_level)
+    }
 }
 
 impl Default for Operator {
@@ -333,11 +386,27 @@
             queue_growth: constants::QUEUE_GROWTH,
             queues: constants::QUEUES,
             idle_return_s: constants::IDLE_RETURN_S,
+            rollout: None,
         }
     }
 }
 
 impl Operator {
+    /// Checks what no schema says; the message names the field.
+    pub fn validate(&self, settings: &Settings) -> Result<(), String> {
+        let Some(rollout) = &self.rollout else {
+            return Ok(());
+        };
+        rollout.range().map_err(|why| why.to_string())?;
+        let mut labels = std::collections::BTreeSet::new();
+        for sibling in &settings.siblings {
+            if !labels.insert(&sibling.label) {
+                return Err(format!("siblings.label: {:?} comes twice", sibling.label));
+            }
+        }
+        Ok(())
+    }
+
     /// The numbers the scheduler works with.
     pub fn policy(&self) -> sched::Policy {
         sched::Policy {
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -129,12 +129,7 @@
 /// Puts a job on record as another process would that this cluster does not run.
 pub fn record_open_job(w: &mut World, spec: Submission) {
     let key = job_key(&spec.id);
-    let record = JobRecord {
-        spec,
-        at: 1_700_000_000_000,
-        aborted: false,
-        more: 0,
-    };
+    let record = JobRecord::new(spec, 1_700_000_000_000);
     w.state.write(&key, &record, None);
 }
 
--- a/crates/control/tests/pipelines.rs
+++ b/crates/control/tests/pipelines.rs
@@ -279,12 +279,7 @@
 #[test]
 fn what_is_found_nowhere_is_waited_for() {
     let mut w = world(1, 1, 0.0);
-    let record = JobRecord {
-        spec: after(array("run-2", 1), &["run-1"]),
-        at: 1_700_000_000_000,
-        aborted: false,
-        more: 0,
-    };
+    let record = JobRecord::new(after(array("run-2", 1), &["run-1"]), 1_700_000_000_000);
     w.jobs.insert("run-2".into(), record.spec.clone());
     w.behaviour.insert("run-2".into(), runs(500));
     w.state.write(&job_key("run-2"), &record, None);
--- a/crates/control/tests/upgrade.rs
+++ b/crates/control/tests/upgrade.rs
@@ -59,10 +59,11 @@
         node: "old".into(),
         term: term.term + 1,
         boot: 1,
+        level: None,
     };
     step(w, &|w| {
         w.state.write(LEADER, &lead, None);
-        w.state.write(TERM, &TermRecord { term: lead.term }, None);
+        w.state.write(TERM, &TermRecord::new(lead.term), None);
     });
     let mut newest: BTreeMap<(String, u32), OldEntry> = BTreeMap::new();
     let pages = w.state.keys(PAGES);
@@ -216,8 +217,7 @@
         "asked for something new"
     );
     // A later version's mark is not taken back.
-    w.state
-        .write(MARK, &GenerationRecord { generation: 7 }, None);
+    w.state.write(MARK, &GenerationRecord::new(7), None);
     for i in 0..2 {
         w.crash(i);
         w.start(i);
--- a/crates/fakes/examples/fleet_size.rs
+++ b/crates/fakes/examples/fleet_size.rs
@@ -123,12 +123,7 @@
             fails: false,
         };
         world.describe(&job, behaviour);
-        let record = JobRecord {
-            spec: job,
-            at: 1_700_000_000_000,
-            aborted: false,
-            more: 0,
-        };
+        let record = JobRecord::new(job, 1_700_000_000_000);
         let key = job_key(&record.spec.id);
         world.state.write(&key, &record, None);
     }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -64,7 +64,7 @@
     /// Time in milliseconds.
     pub now: u64,
     settings: Vec<Settings>,
-    operator: Operator,
+    operators: Vec<Operator>,
     /// How nodes started from now on measure their rounds.
     pub stopwatch: control::Stopwatch,
     nodes: Vec<Slot>,
@@ -178,7 +178,7 @@
         let mut world = World {
             now: 1_000,
             settings,
-            operator: Operator::default(),
+            operators: vec![Operator::default(); nodes],
             stopwatch: || 0,
             nodes: Vec::new(),
             queue: BTreeMap::new(),
@@ -260,13 +260,32 @@
         let boot = 1000 * slot.life + i as u64;
         slot.node = Some(Node::new(
             self.settings[i].clone(),
-            self.operator.clone(),
+            self.operators[i].clone(),
             now,
             boot,
             self.stopwatch,
         ));
     }
 
+    /// What a node is started with from now on.
+    pub fn set_operator(&mut self, i: usize, operator: Operator) {
+        self.operators[i] = operator;
+    }
+
+    /// Asks a node to stop; its process ends once it has nothing left to do.
+    pub fn stop(&mut self, i: usize) {
+        let now = self.clock();
+        if let Some(node) = &mut self.nodes[i].node {
+            node.handle(now, Input::Stop);
+        }
+        self.drain(i);
+    }
+
+    /// The state of a staged upgrade, as a node knows it.
+    pub fn rollout_status(&self, i: usize) -> Option<control::RolloutStatus> {
+        self.nodes[i].node.as_ref()?.rollout_status()
+    }
+
     /// Ends a node without warning.
     pub fn crash(&mut self, i: usize) {
         self.nodes[i].node = None;
@@ -379,6 +398,10 @@
                 }
             }
             self.drain(i);
+            let stopped = self.nodes[i].node.as_ref();
+            if stopped.is_some_and(|node| node.is_stopped(now.mono)) {
+                self.crash(i);
+            }
         }
         self.release_kept();
         self.boot();
--- /dev/null
+++ b/crates/rollout/src/gates.rs
@@ -0,0 +1,70 @@
+//! Whether a feature may be used, and under which condition.
+
+use crate::levels::{Feature, GateKind, Level, LevelRange, BASE, GENERATION_1};
+use wire::records::LEVEL;
+use wire::state::Guard;
+
+/// Which features a controller may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Gates {
+    newest: Level,
+    active: Level,
+    finalized: Level,
+    /// Version of the level record that `active` was read from. Nothing where it may have changed since, for all this
+    /// process knows.
+    version: Option<u64>,
+}
+
+impl Gates {
+    /// Nothing is open: nothing has been read.
+    pub fn closed(range: LevelRange) -> Self {
+        Gates {
+            newest: range.newest(),
+            active: BASE,
+            finalized: BASE,
+            version: None,
+        }
+    }
+
+    /// What was read.
+    pub(crate) fn learn(&mut self, active: Level, finalized: Level, version: u64) {
+        self.active = active;
+        self.finalized = self.finalized.max(finalized);
+        self.version = Some(version);
+    }
+
+    /// Something proves that generation 1 is final.
+    pub(crate) fn prove_generation_1(&mut self) {
+        self.finalized = self.finalized.max(GENERATION_1);
+    }
+
+    /// The level may have changed since it was read. What is final stays so.
+    pub fn forget(&mut self) {
+        self.version = None;
+    }
+
+    /// Whether what was read last may still hold, for all this process knows.
+    pub fn is_fresh(&self) -> bool {
+        self.version.is_some()
+    }
+
+    /// Whether a feature may be used.
+    pub fn is_open(&self, feature: Feature) -> bool {
+        let entry = feature.entry();
+        let reached = match entry.gate {
+            GateKind::WhileActive if self.version.is_none() => return false,
+            GateKind::WhileActive => self.active,
+            GateKind::AtFinalization => self.finalized,
+        };
+        feature.is_in(self.newest) && reached >= entry.level
+    }
+
+    /// The condition under which to write what a feature changes, and the level that is written. A transaction that was
+    /// built under an open gate fails if the level has changed since, however late it is executed.
+    ///
+    /// Nothing if the gate is closed. What is final needs no condition: it never becomes less.
+    pub fn condition(&self, feature: Feature) -> Option<(Level, Guard)> {
+        let version = self.version.filter(|_| self.is_open(feature))?;
+        Some((self.active, Guard::new(LEVEL, version)))
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/machine.rs
@@ -0,0 +1,694 @@
+//! One controller's part in staged upgrades.
+
+use crate::gates::Gates;
+use crate::levels::{Feature, Level, LevelRange, GENERATION_1};
+use crate::observation::{Liveness, Observations};
+use crate::plan::{self, Controller, Transition, View};
+use crate::request::{Event, Reply, Request};
+use crate::snapshot::{Snapshot, Stored};
+use crate::status::{ControllerStatus, RolloutStatus};
+use constants::{CALM_MS, ELECTION_DEFER_MS, GENERATION_POLL_MS, LEVEL_POLL_MS};
+use serde::de::DeserializeOwned;
+use std::collections::BTreeMap;
+use wire::records::{PauseReason, Phase, LEADER, LEVEL, MARK, MEMBERS, ROLLOUT, TERM};
+use wire::state::{Guard, Item};
+
+/// Who a process is.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Identity {
+    /// Label of the controller.
+    pub label: String,
+    /// Name of the build.
+    pub build: String,
+    /// Number drawn at the start of the process.
+    pub boot: u64,
+    /// Levels that it can run.
+    pub range: LevelRange,
+}
+
+/// How operators want upgrades to go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Policy {
+    /// Whether a level is finalized once it has soaked; else it stays reversible.
+    pub finalizes: bool,
+    /// Milliseconds that it soaks.
+    pub soak_ms: u64,
+    /// Milliseconds without progress after which an upgrade is paused.
+    pub stall_ms: u64,
+}
+
+/// Whether a process may take part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Admission {
+    /// Not known yet.
+    Pending,
+    Admitted,
+    Refused,
+}
+
+/// What is being done.
+#[derive(Debug, Clone, PartialEq)]
+enum Step {
+    Rest,
+    ReadMembers,
+    ReadMark,
+    ReadTerm,
+    ReadLeader,
+    /// The announcement was sent.
+    Announce,
+    /// A transition was sent, from this phase.
+    Move(Phase, Transition),
+    /// The mark of a proven level was sent.
+    Prove,
+}
+
+/// What a machine wants done.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Output {
+    /// A request to the state service. Its reply is to be given back before anything else is asked.
+    pub request: Option<Request>,
+    /// What has become known.
+    pub events: Vec<Event>,
+}
+
+/// Since when something of the level record has been the same, by our own steady clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Since<T> {
+    value: T,
+    at: u64,
+}
+
+impl<T: PartialEq> Since<T> {
+    /// Notes a value; counts anew if it is another one.
+    fn note(slot: &mut Option<Since<T>>, value: T, now: u64) {
+        if slot.as_ref().is_none_or(|known| known.value != value) {
+            *slot = Some(Since { value, at: now });
+        }
+    }
+}
+
+/// The state machine of one controller.
+pub struct RolloutMachine {
+    identity: Identity,
+    /// Labels of all configured controllers, this one included.
+    labels: Vec<String>,
+    policy: Policy,
+    gates: Gates,
+    admission: Admission,
+    observations: Observations,
+    /// What was read last, whole.
+    snapshot: Option<Snapshot>,
+    /// What is being read.
+    reading: Snapshot,
+    read_from: String,
+    step: Step,
+    busy: bool,
+    next_at: u64,
+    /// Something proves that generation 1 is final.
+    proof: Option<&'static str>,
+    /// The leader, as the election knows it.
+    leader: Option<String>,
+    /// The transition since which the level soaks, without trouble.
+    soak: Option<Since<u64>>,
+    /// Transition and announcement after which nothing has moved.
+    progress: Option<Since<(u64, u64)>>,
+    /// Processes of controllers that are not configured, and when one was seen to be new.
+    strangers: BTreeMap<String, u64>,
+    stranger_seen: Option<Since<String>>,
+    /// Controllers that were said to be unannounced.
+    unannounced: Vec<String>,
+}
+
+impl RolloutMachine {
+    /// A process that has just started. `siblings` are the labels of the other controllers.
+    pub fn new(identity: Identity, siblings: impl Iterator<Item = String>, policy: Policy) -> Self {
+        RolloutMachine {
+            labels: siblings.chain([identity.label.clone()]).collect(),
+            gates: Gates::closed(identity.range),
+            identity,
+            policy,
+            admission: Admission::Pending,
+            observations: Observations::default(),
+            snapshot: None,
+            reading: Snapshot::default(),
+            read_from: String::new(),
+            step: Step::Rest,
+            busy: false,
+            next_at: 0,
+            proof: None,
+            leader: None,
+            soak: None,
+            progress: None,
+            strangers: BTreeMap::new(),
+            stranger_seen: None,
+            unannounced: Vec::new(),
+        }
+    }
+
+    /// When [`RolloutMachine::tick`] wants to be called.
+    pub fn next_wake(&self) -> u64 {
+        match self.busy {
+            true => u64::MAX,
+            false => self.next_at,
+        }
+    }
+
+    /// Which features may be used.
+    pub fn gates(&self) -> Gates {
+        self.gates
+    }
+
+    /// Whether this process may serve and write. Until it has read what the cluster runs it may not.
+    pub fn is_admitted(&self) -> bool {
+        self.admission == Admission::Admitted
+    }
+
+    /// Whether it is admitted by what it has read since it last stood still.
+    pub fn is_up_to_date(&self) -> bool {
+        self.is_admitted() && self.gates.is_fresh()
+    }
+
+    /// The condition that nothing has become final since this process was admitted.
+    pub fn admission_guard(&self) -> Option<Guard> {
+        let snapshot = self.snapshot.as_ref()?;
+        Some(plan::admission_guard(snapshot))
+    }
+
+    /// Milliseconds for which this process leaves an election to others: a newer build needs no restart after it, so
+    /// that in an upgrade the lead moves twice at most.
+    pub fn defers_election_ms(&self, now: u64) -> u64 {
+        let Some(snapshot) = &self.snapshot else {
+            return 0;
+        };
+        let newer = |label: &&String| {
+            let member = snapshot.member(label);
+            member.is_some_and(|m| m.newest > self.identity.range.newest())
+                && self.liveness(label, snapshot, now) == Liveness::Confirmed
+        };
+        match self.labels.iter().find(newer) {
+            Some(_) => ELECTION_DEFER_MS,
+            None => 0,
+        }
+    }
+
+    /// Whether a process of another controller has a feature, and is the one that announced it.
+    pub fn peer_has(&self, label: &str, feature: Feature, now: u64) -> bool {
+        let Some(snapshot) = &self.snapshot else {
+            return false;
+        };
+        let member = snapshot.member(label);
+        member.is_some_and(|m| feature.is_in(m.newest))
+            && self.liveness(label, snapshot, now) == Liveness::Confirmed
+    }
+
+    /// Newest level that another controller has announced, for choosing among several.
+    pub fn peer_newest(&self, label: &str) -> Level {
+        let snapshot = self.snapshot.as_ref();
+        let member = snapshot.and_then(|s| s.member(label));
+        member.map_or(0, |m| m.newest)
+    }
+
+    /// A heartbeat of another controller arrived.
+    pub fn on_heartbeat(&mut self, label: &str, boot: u64, now: u64) {
+        self.observations.on_heartbeat(label, boot, now);
+    }
+
+    /// The process stood still, or was told that the level has changed: what it read may not hold any more.
+    pub fn read_anew(&mut self, now: u64) {
+        self.gates.forget();
+        self.step = Step::Rest;
+        self.busy = false;
+        self.next_at = now;
+        self.soak = None;
+    }
+
+    /// Something happened that happens only when every controller runs generation 1.
+    pub fn proven(&mut self, why: &'static str, now: u64) {
+        if self.proof.is_none() {
+            self.proof = Some(why);
+            self.next_at = self.next_at.min(now);
+        }
+        self.gates.prove_generation_1();
+    }
+
+    /// Time passed. `leader` is the controller that leads, as the election knows it.
+    pub fn tick(&mut self, now: u64, leader: Option<&str>) -> Output {
+        self.leader = leader.map(str::to_string);
+        if self.busy || now < self.next_at {
+            return Output::default();
+        }
+        self.reading = Snapshot::default();
+        self.read_from = String::new();
+        self.ask(Step::ReadMembers, self.list_request())
+    }
+
+    fn list_request(&self) -> Request {
+        Request::List {
+            prefix: ROLLOUT,
+            from: self.read_from.clone(),
+        }
+    }
+
+    fn ask(&mut self, step: Step, request: Request) -> Output {
+        self.step = step;
+        self.busy = true;
+        Output {
+            request: Some(request),
+            events: Vec::new(),
+        }
+    }
+
+    fn rest(&mut self, until: u64) -> Output {
+        self.step = Step::Rest;
+        self.busy = false;
+        self.next_at = until;
+        Output::default()
+    }
+
+    /// The reply to the last request.
+    pub fn on_reply(&mut self, reply: Reply, now: u64, unix: u64) -> Output {
+        self.busy = false;
+        match (std::mem::replace(&mut self.step, Step::Rest), reply) {
+            (Step::ReadMembers, Reply::Page(page)) => self.on_members(page.items, page.more),
+            (Step::ReadMark, reply @ (Reply::Item(_) | Reply::Missing)) => {
+                self.reading.mark = stored(reply);
+                match self.is_about_to_finalize() {
+                    true => self.ask(Step::ReadTerm, Request::Get(TERM)),
+                    false => self.on_read(now, unix),
+                }
+            }
+            (Step::ReadTerm, reply @ (Reply::Item(_) | Reply::Missing)) => {
+                self.reading.term = stored(reply);
+                self.ask(Step::ReadLeader, Request::Get(LEADER))
+            }
+            (Step::ReadLeader, reply @ (Reply::Item(_) | Reply::Missing)) => {
+                self.reading.leader = stored(reply);
+                self.on_read(now, unix)
+            }
+            (Step::Announce, Reply::Committed) => {
+                let range = self.identity.range;
+                let events = vec![Event::Announced { range }];
+                Output {
+                    events,
+                    ..self.rest(now)
+                }
+            }
+            (Step::Move(from, transition), Reply::Committed) => {
+                let events = moved(from, &transition);
+                Output {
+                    events,
+                    ..self.rest(now)
+                }
+            }
+            (Step::Prove, Reply::Committed) => self.rest(now),
+            // What is stored tells what came of an unknown outcome or a conflict.
+            _ => self.rest(now + GENERATION_POLL_MS),
+        }
+    }
+
+    fn on_members(&mut self, items: Vec<Item>, more: bool) -> Output {
+        let last = items.last().map(|item| item.key.clone());
+        for item in items {
+            if item.key == LEVEL {
+                self.reading.level = stored(Reply::Item(item));
+            } else if let Some(label) = item.key.strip_prefix(MEMBERS).map(str::to_string) {
+                let member = stored(Reply::Item(item));
+                self.reading.members.insert(label, member);
+            }
+        }
+        match last.filter(|_| more) {
+            Some(last) => {
+                self.read_from = last;
+                self.ask(Step::ReadMembers, self.list_request())
+            }
+            None => self.ask(Step::ReadMark, Request::Get(MARK)),
+        }
+    }
+
+    /// Only then are term and leader of interest.
+    fn is_about_to_finalize(&self) -> bool {
+        let level = self.reading.level.record();
+        level.is_some_and(|level| level.phase == Phase::Soaking) && self.policy.finalizes
+    }
+
+    /// Everything has been read.
+    fn on_read(&mut self, now: u64, unix: u64) -> Output {
+        let snapshot = std::mem::take(&mut self.reading);
+        let mut events = self.learn(&snapshot, now);
+        let mut output = self.act(&snapshot, now, unix);
+        self.snapshot = Some(snapshot);
+        events.append(&mut output.events);
+        Output { events, ..output }
+    }
+
+    fn learn(&mut self, snapshot: &Snapshot, now: u64) -> Vec<Event> {
+        let mut events = self.unreadable(snapshot);
+        let before = self.gates;
+        let known = self.snapshot.as_ref();
+        let phase_before = known.and_then(|s| s.level.record()).map(|l| l.phase);
+        // Below what was seen as final there is nothing, whatever has become of the record.
+        let finalized = snapshot.finalized();
+        self.gates
+            .learn(snapshot.active(), finalized, snapshot.level.version());
+        let level = snapshot.level.record();
+        let phase = level.map_or(Phase::Idle, |level| level.phase);
+        if known.is_none() || before != self.gates && phase_before != Some(phase) {
+            events.push(Event::LevelRead {
+                active: snapshot.active(),
+                finalized,
+                phase,
+            });
+        }
+        if let Some(level) = level {
+            let moved = (level.number, level.announcements);
+            Since::note(&mut self.progress, moved, now);
+        }
+        self.admit(snapshot, &mut events);
+        self.note_strangers(snapshot, now, &mut events);
+        self.note_unannounced(snapshot, now, &mut events);
+        self.note_soak(snapshot, now);
+        events
+    }
+
+    fn unreadable(&self, snapshot: &Snapshot) -> Vec<Event> {
+        let known = self.snapshot.as_ref();
+        let members = snapshot.members.iter().map(|(label, member)| {
+            let was = known.and_then(|k| k.members.get(label));
+            let was = was.is_some_and(Stored::is_unreadable);
+            let key = format!("{MEMBERS}{label}");
+            (key, member.is_unreadable() && !was)
+        });
+        let level_was = known.is_some_and(|k| k.level.is_unreadable());
+        let mark_was = known.is_some_and(|k| k.mark.is_unreadable());
+        let all = [
+            (
+                LEVEL.to_string(),
+                snapshot.level.is_unreadable() && !level_was,
+            ),
+            (MARK.to_string(), snapshot.mark.is_unreadable() && !mark_was),
+        ];
+        let all = all.into_iter().chain(members);
+        all.filter(|(_, is_new)| *is_new)
+            .map(|(key, _)| Event::Unreadable { key })
+            .collect()
+    }
+
+    /// Admission is lost for good by what is final; a process that was refused has written nothing and never will.
+    fn admit(&mut self, snapshot: &Snapshot, events: &mut Vec<Event>) {
+        let admitted = plan::is_admitted(self.identity.range, snapshot);
+        let now_is = match admitted && self.admission != Admission::Refused {
+            true => Admission::Admitted,
+            false => Admission::Refused,
+        };
+        if now_is == Admission::Refused && self.admission != now_is {
+            events.push(Event::Refused {
+                range: self.identity.range,
+                active: snapshot.active(),
+                finalized: snapshot.finalized(),
+            });
+        }
+        self.admission = now_is;
+    }
+
+    /// Announcements of controllers that are not configured don't count, but one that has just been made shows that such
+    /// a controller is running.
+    fn note_strangers(&mut self, snapshot: &Snapshot, now: u64, events: &mut Vec<Event>) {
+        for (label, member) in &snapshot.members {
+            let Some(member) = member.record().filter(|_| !self.labels.contains(label)) else {
+                continue;
+            };
+            match self.strangers.insert(label.clone(), member.boot) {
+                None => events.push(Event::UnknownMember {
+                    label: label.clone(),
+                }),
+                Some(boot) if boot != member.boot => {
+                    self.stranger_seen = Some(Since {
+                        value: label.clone(),
+                        at: now,
+                    });
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
+    fn note_unannounced(&mut self, snapshot: &Snapshot, now: u64, events: &mut Vec<Event>) {
+        let controllers = self.controllers(snapshot, now);
+        let unannounced = controllers
+            .into_iter()
+            .filter(|c| c.liveness == Liveness::Unannounced);
+        let unannounced: Vec<String> = unannounced.map(|c| c.label).collect();
+        for label in unannounced.iter().filter(|l| !self.unannounced.contains(l)) {
+            events.push(Event::Unannounced {
+                label: label.clone(),
+                finalized: snapshot.finalized(),
+            });
+        }
+        self.unannounced = unannounced;
+    }
+
+    /// The time for which a level has been active without trouble is taken by the steady clock of the controller that
+    /// decides, from when it first saw it, and anew after each restart or silence.
+    fn note_soak(&mut self, snapshot: &Snapshot, now: u64) {
+        let level = snapshot.level.record();
+        let Some(level) = level.filter(|l| l.phase == Phase::Soaking && l.pause.is_none()) else {
+            self.soak = None;
+            return;
+        };
+        let controllers = self.controllers(snapshot, now);
+        let confirmed = controllers
+            .iter()
+            .all(|c| c.liveness == Liveness::Confirmed);
+        let restarted = |soak: &Since<u64>| {
+            let last = self.observations.last_restart();
+            last.is_some_and(|at| at > soak.at)
+        };
+        if !confirmed || self.soak.as_ref().is_some_and(restarted) {
+            self.soak = None;
+        }
+        if confirmed {
+            Since::note(&mut self.soak, level.number, now);
+        }
+    }
+
+    fn liveness(&self, label: &str, snapshot: &Snapshot, now: u64) -> Liveness {
+        let announced = snapshot.member(label).map(|m| m.boot);
+        if label == self.identity.label {
+            return match announced == Some(self.identity.boot) {
+                true => Liveness::Confirmed,
+                false => Liveness::Settling,
+            };
+        }
+        self.observations.liveness(label, announced, now)
+    }
+
+    fn controllers(&self, snapshot: &Snapshot, now: u64) -> Vec<Controller> {
+        let controller = |label: &String| Controller {
+            label: label.clone(),
+            liveness: self.liveness(label, snapshot, now),
+        };
+        self.labels.iter().map(controller).collect()
+    }
+
+    /// Writes what is due, if anything.
+    fn act(&mut self, snapshot: &Snapshot, now: u64, unix: u64) -> Output {
+        if !self.is_admitted() {
+            return self.rest(now + LEVEL_POLL_MS);
+        }
+        if self.proof.is_some() && snapshot.finalized() < GENERATION_1 {
+            let txn = plan::proven(snapshot, GENERATION_1);
+            return self.ask(Step::Prove, Request::Commit(txn));
+        }
+        if let Some(txn) = plan::announcement(&self.identity, snapshot, unix) {
+            return self.ask(Step::Announce, Request::Commit(txn));
+        }
+        if self.decides(snapshot, now) {
+            if let Some(output) = self.move_on(snapshot, now, unix) {
+                return output;
+            }
+        }
+        let level = snapshot.level.record();
+        let rests = level.is_some_and(|l| matches!(l.phase, Phase::Idle | Phase::Finalized));
+        let poll_ms = match rests {
+            true => LEVEL_POLL_MS,
+            false => GENERATION_POLL_MS,
+        };
+        self.rest(now + poll_ms)
+    }
+
+    fn move_on(&mut self, snapshot: &Snapshot, now: u64, unix: u64) -> Option<Output> {
+        let controllers = self.controllers(snapshot, now);
+        let view = self.view(snapshot, &controllers, now, unix);
+        let transition = view.next_transition()?;
+        let txn = plan::transaction(snapshot, &transition)?;
+        let from = snapshot.level.record()?.phase;
+        Some(self.ask(Step::Move(from, transition), Request::Commit(txn)))
+    }
+
+    fn view<'a>(
+        &self,
+        snapshot: &'a Snapshot,
+        controllers: &'a [Controller],
+        now: u64,
+        unix: u64,
+    ) -> View<'a> {
+        let soaked = |soak: Since<u64>| now >= soak.at + self.policy.soak_ms;
+        View {
+            snapshot,
+            controllers,
+            trouble: self.trouble(snapshot, controllers, now),
+            may_finalize: self.policy.finalizes && self.soak.is_some_and(soaked),
+            unix,
+        }
+    }
+
+    /// One controller decides: the leader if it takes part, else the first of those that do. Two that think so at once
+    /// do no harm, since one of their transactions fails.
+    fn decides(&self, snapshot: &Snapshot, now: u64) -> bool {
+        let takes_part = |label: &str| {
+            label == self.identity.label
+                || self.liveness(label, snapshot, now) == Liveness::Confirmed
+        };
+        match self.leader.as_deref().filter(|l| takes_part(l)) {
+            Some(leader) => leader == self.identity.label,
+            None => {
+                let mut labels = self.labels.iter().filter(|l| takes_part(l));
+                labels.all(|l| *l >= self.identity.label)
+            }
+        }
+    }
+
+    /// What speaks against going on.
+    fn trouble(
+        &self,
+        snapshot: &Snapshot,
+        controllers: &[Controller],
+        now: u64,
+    ) -> Option<PauseReason> {
+        let level = snapshot.level.record()?;
+        if level.target <= level.active && level.phase != Phase::Soaking {
+            return None;
+        }
+        let stranger = self.stranger_seen.as_ref();
+        if let Some(stranger) = stranger.filter(|s| now < s.at + CALM_MS) {
+            let label = stranger.value.clone();
+            return Some(PauseReason::Unknown { label });
+        }
+        if let Some(label) = self.observations.restarting(now) {
+            let label = label.to_string();
+            return Some(PauseReason::Restarting { label });
+        }
+        if let Some(pause @ PauseReason::Regressed { .. }) = &level.pause {
+            let supports = |c: &Controller| {
+                let member = snapshot.member(&c.label);
+                member.is_some_and(|m| m.newest >= level.target)
+                    && c.liveness == Liveness::Confirmed
+            };
+            let returned = controllers.iter().all(supports);
+            if !returned || !self.observations.is_calm(now) {
+                return Some(pause.clone());
+            }
+        }
+        self.stall(level.phase, snapshot, controllers, now)
+    }
+
+    /// An upgrade in which nothing has moved for too long.
+    fn stall(
+        &self,
+        phase: Phase,
+        snapshot: &Snapshot,
+        controllers: &[Controller],
+        now: u64,
+    ) -> Option<PauseReason> {
+        let stalls = matches!(phase, Phase::Mixed | Phase::Ready);
+        let is_paused = snapshot.level.record().and_then(|l| l.pause.as_ref());
+        // The pause itself is no progress.
+        let was_stalled = matches!(is_paused, Some(PauseReason::Stalled { .. }));
+        let for_long = self.progress.is_some_and(|p| {
+            let waits_ms = self.policy.stall_ms;
+            now >= p.at + waits_ms || (was_stalled && !self.has_moved_since_pause(snapshot))
+        });
+        if !stalls || !for_long {
+            return None;
+        }
+        let target = snapshot.level.record()?.target;
+        let lacks = |c: &&Controller| {
+            let member = snapshot.member(&c.label);
+            member.is_none_or(|m| m.newest < target) || c.liveness != Liveness::Confirmed
+        };
+        let label = controllers.iter().find(lacks).map(|c| c.label.clone());
+        Some(PauseReason::Stalled {
+            label: label.unwrap_or_else(|| self.identity.label.clone()),
+        })
+    }
+
+    /// Whether a controller has announced itself since the upgrade was paused as stalled.
+    fn has_moved_since_pause(&self, snapshot: &Snapshot) -> bool {
+        let before = self.snapshot.as_ref().and_then(|s| s.level.record());
+        let (Some(before), Some(level)) = (before, snapshot.level.record()) else {
+            return false;
+        };
+        level.announcements > before.announcements
+    }
+
+    /// The state of the upgrade, if it has been read.
+    pub fn status(&self, now: u64) -> Option<RolloutStatus> {
+        let snapshot = self.snapshot.as_ref()?;
+        let level = snapshot.level.record()?;
+        let controllers = self.controllers(snapshot, now);
+        let view = self.view(snapshot, &controllers, now, level.since);
+        let status = |c: &Controller| {
+            let member = snapshot.member(&c.label);
+            ControllerStatus {
+                label: c.label.clone(),
+                levels: member.map(|m| (m.oldest, m.newest)),
+                build: member.map(|m| m.build.clone()),
+                liveness: match c.liveness {
+                    Liveness::Confirmed => "confirmed",
+                    Liveness::Silent => "silent",
+                    Liveness::Settling => "settling",
+                    Liveness::Unannounced => "unannounced",
+                },
+            }
+        };
+        Some(RolloutStatus {
+            phase: level.phase,
+            active: snapshot.active(),
+            target: level.target,
+            finalized: snapshot.finalized(),
+            since: level.since,
+            pause: level.pause.clone(),
+            waits_for: view.waits_for(level),
+            admitted: self.is_admitted(),
+            controllers: controllers.iter().map(status).collect(),
+        })
+    }
+}
+
+/// A record as a reply brought it.
+fn stored<T: DeserializeOwned>(reply: Reply) -> Stored<T> {
+    let Reply::Item(item) = reply else {
+        return Stored::Missing;
+    };
+    let version = item.version;
+    match item.value.deserialized() {
+        Ok(record) => Stored::Known { record, version },
+        Err(_) => Stored::Unreadable { version },
+    }
+}
+
+fn moved(from: Phase, transition: &Transition) -> Vec<Event> {
+    let level = &transition.level;
+    let mut events = vec![Event::Moved {
+        from,
+        to: level.phase,
+        active: level.active,
+        why: transition.why,
+    }];
+    match (&level.pause, transition.why) {
+        (Some(reason), _) => events.push(Event::Paused(reason.clone())),
+        (None, "resumed") => events.push(Event::Resumed),
+        _ => {}
+    }
+    events
+}
--- a/crates/vetchmount/src/daemon.rs
+++ b/crates/vetchmount/src/daemon.rs
@@ -7,8 +7,11 @@
 use constants::*;
 use control::{Input, Node, Now, Operator, Output, Settings, Target};
 use polling::{Events, Poller};
+use signal_hook::consts::SIGTERM;
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Key of the listener for users, workers and the load balancer.
@@ -32,6 +35,8 @@
     state: SocketAddrV4,
     cloud: SocketAddrV4,
     start: Instant,
+    /// Set by the signal that asks the process to stop.
+    stop: Arc<AtomicBool>,
 }
 
 fn address(text: &str) -> Result<SocketAddrV4, String> {
@@ -69,6 +74,12 @@
         settings.public_addr,
         settings.back
     );
+    let stop = Arc::new(AtomicBool::new(false));
+    if operator.rollout.is_some() {
+        // Only then is there something to hand over.
+        signal_hook::flag::register(SIGTERM, Arc::clone(&stop))
+            .map_err(|e| format!("SIGTERM: {e}"))?;
+    }
     let node = Node::new(settings, operator, now_since(start), boot, stopwatch);
     let daemon = Daemon {
         poller,
@@ -83,6 +94,7 @@
         state,
         cloud,
         start,
+        stop,
     };
     daemon.serve()
 }
@@ -135,6 +147,9 @@
             self.peers.tick(&self.poller, &mut self.keys, now.mono);
             self.feed(now, &mut arrived, &mut done);
             self.feed_reports(&mut arrived, &mut done);
+            if self.stop.load(Ordering::Relaxed) && self.has_stopped(&mut arrived, &mut done) {
+                return Ok(());
+            }
             let took_ms = self.now().mono.saturating_sub(now.mono);
             if took_ms >= SLOW_TURN_MS {
                 log::info!("event=slow_turn took_ms={took_ms} events={}", events.len());
@@ -142,6 +157,18 @@
         }
     }
 
+    /// Lets the node end what it has in hand; whether it has.
+    fn has_stopped(&mut self, arrived: &mut Vec<Arrived>, done: &mut Vec<Outcome>) -> bool {
+        let now = self.now();
+        self.node.handle(now, Input::Stop);
+        self.feed(now, arrived, done);
+        let is_stopped = self.node.is_stopped(now.mono);
+        if is_stopped {
+            log::info!("event=stopped");
+        }
+        is_stopped
+    }
+
     fn on_event(
         &mut self,
         key: usize,
--- a/crates/vetchmount/src/main.rs
+++ b/crates/vetchmount/src/main.rs
@@ -47,6 +47,7 @@
             Some(path) => settings::load_operator(path)?,
             None => control::Operator::default(),
         };
+        operator.validate(&s)?;
         Ok((s, operator))
     });
     let (settings, operator) = match loaded {
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -85,6 +85,12 @@
         /// Body.
         body: Vec<u8>,
     },
+    /// The leader stops as planned and names the receiver its successor. Only to processes that have announced the
+    /// feature: others can't read it and would end the connection.
+    Handover {
+        /// Its term.
+        term: u64,
+    },
 }
 
 /// Appends a frame to `out`.
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -1,10 +1,16 @@
 //! What the controllers keep in the state service, and under which keys.
 
 use crate::users::{Submission, ID_PREFIX};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
 
+mod rollout;
 mod small;
+mod unknown;
+pub use rollout::{
+    member_key, LevelRecord, MemberRecord, PauseReason, Phase, LEVEL, MEMBERS, ROLLOUT,
+};
 pub use small::{SmallEntry, SmallPart};
+pub use unknown::UnknownFields;
 
 /// Key of the leader's record, attached to its lease.
 pub const LEADER: &str = "lead";
@@ -34,10 +40,34 @@
 pub const GENERATION: u32 = 1;
 
 /// A generation, of a node or of all.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct GenerationRecord {
     /// Number, which only grows.
     pub generation: u32,
+    /// What a newer build has added.
+    #[serde(flatten)]
+    pub unknown: UnknownFields,
+}
+
+impl GenerationRecord {
+    /// A generation without further fields.
+    pub fn new(generation: u32) -> Self {
+        GenerationRecord {
+            generation,
+            unknown: UnknownFields::new(),
+        }
+    }
+}
+
+impl Serialize for GenerationRecord {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        #[derive(Serialize)]
+        struct Known {
+            generation: u32,
+        }
+        let generation = self.generation;
+        unknown::serialize_with(&Known { generation }, &self.unknown, serializer)
+    }
 }
 
 /// Key of a node's generation.
@@ -79,18 +109,83 @@
     pub term: u64,
     /// Number drawn at the start of the process, to tell it from the node's earlier ones.
     pub boot: u64,
+    /// Feature level that was active when it was elected. Written under a gate only, see the `rollout` crate.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub level: Option<u32>,
 }
 
 /// The last term.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(try_from = "StoredTerm")]
 pub struct TermRecord {
     /// Term.
     pub term: u64,
+    /// Whether the record is in the layout that builds without rollouts can't read. They stand for no election whose
+    /// last term they don't know.
+    pub fenced: bool,
+    /// What a newer build has added.
+    pub unknown: UnknownFields,
+}
+
+impl TermRecord {
+    /// A term in the layout that every build reads.
+    pub fn new(term: u64) -> Self {
+        TermRecord {
+            term,
+            fenced: false,
+            unknown: UnknownFields::new(),
+        }
+    }
+}
+
+/// The last term as it is stored: under one name or the other.
+#[derive(Deserialize)]
+struct StoredTerm {
+    #[serde(default)]
+    term: Option<u64>,
+    #[serde(default)]
+    fenced_term: Option<u64>,
+    #[serde(flatten)]
+    unknown: UnknownFields,
+}
+
+/// A record of the term that names none.
+#[derive(Debug, thiserror::Error)]
+#[error("neither `term` nor `fenced_term`")]
+struct NoTerm;
+
+impl TryFrom<StoredTerm> for TermRecord {
+    type Error = NoTerm;
+
+    fn try_from(stored: StoredTerm) -> Result<Self, NoTerm> {
+        Ok(TermRecord {
+            term: stored.fenced_term.or(stored.term).ok_or(NoTerm)?,
+            fenced: stored.fenced_term.is_some(),
+            unknown: stored.unknown,
+        })
+    }
+}
+
+impl Serialize for TermRecord {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        #[derive(Serialize)]
+        struct Known {
+            #[serde(skip_serializing_if = "Option::is_none")]
+            term: Option<u64>,
+            #[serde(skip_serializing_if = "Option::is_none")]
+            fenced_term: Option<u64>,
+        }
+        let known = Known {
+            term: (!self.fenced).then_some(self.term),
+            fenced_term: self.fenced.then_some(self.term),
+        };
+        unknown::serialize_with(&known, &self.unknown, serializer)
+    }
 }
 
 /// A job that is not over.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(from = "StoredJob", into = "StoredJob")]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(from = "StoredJob")]
 pub struct JobRecord {
     /// What was submitted, without what `more` records hold.
     pub spec: Submission,
@@ -100,20 +195,37 @@
     pub aborted: bool,
     /// Number of further records, [`MoreRecord`].
     pub more: u32,
+    /// What a newer build has added beside these.
+    pub unknown: UnknownFields,
+}
+
+impl JobRecord {
+    /// A job that has just been accepted, in one record.
+    pub fn new(spec: Submission, at: u64) -> Self {
+        JobRecord {
+            spec,
+            at,
+            aborted: false,
+            more: 0,
+            unknown: UnknownFields::new(),
+        }
+    }
 }
 
 /// A job's record as it is stored: the names of needed jobs are written without what they all begin with, so that a
 /// hundred of them fit into a small value.
-#[derive(Serialize, Deserialize)]
+#[derive(Deserialize)]
 struct StoredJob {
     spec: Submission,
     at: u64,
     #[serde(default)]
     aborted: bool,
-    #[serde(default, skip_serializing_if = "String::is_empty")]
+    #[serde(default)]
     needs: String,
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default)]
     more: u32,
+    #[serde(flatten)]
+    unknown: UnknownFields,
 }
 
 fn is_zero(n: &u32) -> bool {
@@ -130,21 +242,34 @@
             at: stored.at,
             aborted: stored.aborted,
             more: stored.more,
+            unknown: stored.unknown,
         }
     }
 }
 
-impl From<JobRecord> for StoredJob {
-    fn from(mut record: JobRecord) -> Self {
-        let needs = std::mem::take(&mut record.spec.needs);
+impl Serialize for JobRecord {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        #[derive(Serialize)]
+        struct Known {
+            spec: Submission,
+            at: u64,
+            aborted: bool,
+            #[serde(skip_serializing_if = "String::is_empty")]
+            needs: String,
+            #[serde(skip_serializing_if = "is_zero")]
+            more: u32,
+        }
+        let mut spec = self.spec.clone();
+        let needs = std::mem::take(&mut spec.needs);
         let names = needs.iter().map(|n| n.trim_start_matches(ID_PREFIX));
-        StoredJob {
+        let known = Known {
             needs: names.collect::<Vec<_>>().join(" "),
-            spec: record.spec,
-            at: record.at,
-            aborted: record.aborted,
-            more: record.more,
-        }
+            spec,
+            at: self.at,
+            aborted: self.aborted,
+            more: self.more,
+        };
+        unknown::serialize_with(&known, &self.unknown, serializer)
     }
 }
 
--- a/crates/wire/tests/production.rs
+++ b/crates/wire/tests/production.rs
@@ -158,12 +158,7 @@
 }
 
 fn records() -> Vec<(&'static str, Vec<u8>)> {
-    let job = JobRecord {
-        spec: submission(),
-        at: 1_700_000_000_000,
-        aborted: false,
-        more: 0,
-    };
+    let job = JobRecord::new(submission(), 1_700_000_000_000);
     let page = PageRecord {
         parts: vec![PageEntry {
             job: "run-000412".into(),
@@ -183,13 +178,14 @@
         node: "steading-2".into(),
         term: 41,
         boot: 7,
+        level: None,
     };
     vec![
         ("job", wire::encode(&job)),
         ("page", wire::encode(&page)),
         ("rental", wire::encode(&rental)),
         ("leader", wire::encode(&leader)),
-        ("term", wire::encode(&TermRecord { term: 41 })),
+        ("term", wire::encode(&TermRecord::new(41))),
         ("done", wire::encode(&Final::Done)),
         ("aborted", wire::encode(&Final::Aborted)),
     ]
