--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -17,7 +17,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::RangeInclusive;
 use wire::cloud::Rent;
-use wire::records::{final_key, Final};
+use wire::records::{final_key, Final, LEVEL};
+use wire::state::{Txn, Write};
 use wire::users::*;
 use wire::workers::*;
 
@@ -117,6 +118,10 @@
     pub rentals: Vec<String>,
     /// Microseconds of the stopwatch that each turn of a node took, if they are to be kept.
     pub turns_us: Option<Vec<u64>>,
+    /// Transactions that change the cluster's feature level so far.
+    pub level_writes: u64,
+    /// Ends the process that sends the transaction of this number, and whether the transaction is executed.
+    pub crash_at_level_write: Option<(u64, bool)>,
     /// Pages of its machine list that the cloud has served.
     pub listed_pages: u64,
     /// Milliseconds until a rented machine is up.
@@ -209,6 +214,8 @@
             cancelled: BTreeMap::new(),
             broken: Vec::new(),
             rentals: Vec::new(),
+            level_writes: 0,
+            crash_at_level_write: None,
             turns_us: None,
             listed_pages: 0,
             boot_ms: 2_000..=2_000,
@@ -613,6 +620,9 @@
             return;
         };
         self.txns += u64::from(txn);
+        if txn && changes_level(&call.body) && self.crashes_at_level_write(i, &call) {
+            return;
+        }
         let lost = txn && self.lose_txns > 0 && self.txns.is_multiple_of(self.lose_txns);
         let mut at = self.now + DELAY;
         let deadline = call.deadline;
@@ -675,6 +685,24 @@
         }
     }
 
+    /// Ends the process that sends a change of the feature level, if it is the one chosen for that.
+    fn crashes_at_level_write(&mut self, node: usize, call: &StateCall) -> bool {
+        self.level_writes += 1;
+        let Some((_, executed)) = self
+            .crash_at_level_write
+            .take_if(|(number, _)| *number == self.level_writes)
+        else {
+            return false;
+        };
+        if executed {
+            let waiter = (usize::MAX, 0);
+            self.state
+                .serve(self.now, waiter, call.method, &call.path, &call.body);
+        }
+        self.crash(node);
+        true
+    }
+
     /// A worker's own address gets commands.
     fn direct(&mut self, from: usize, name: String, body: Vec<u8>) {
         if let Some(until) = self.held(&name) {
@@ -959,6 +987,15 @@
     }
 }
 
+/// Whether a transaction writes the cluster's feature level.
+fn changes_level(body: &[u8]) -> bool {
+    let Ok(txn) = wire::decode::<Txn>(body) else {
+        return false;
+    };
+    let mut writes = txn.writes.iter();
+    writes.any(|write| matches!(write, Write::Put { key, .. } if key == LEVEL))
+}
+
 fn limits_of(limits: &control::settings::Limits) -> FakeLimits {
     FakeLimits {
         value_bytes: limits.value_bytes,
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -241,7 +241,7 @@
 
     fn pause_or_resume(&self, level: &LevelRecord) -> Option<Transition> {
         match (&self.trouble, &level.pause) {
-            (Some(trouble), None) => {
+            (Some(trouble), pause) if pause.as_ref() != Some(trouble) => {
                 let mut step = self.step(level, level.phase, "paused");
                 step.level.pause = Some(trouble.clone());
                 Some(step)
