--- /dev/null
+++ b/crates/standins/src/connections.rs
@@ -0,0 +1,101 @@
+//! HTTP over blocking sockets.
+
+use crate::Shared;
+use http::{encode_request, encode_response, RequestParser, ResponseParser};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Bytes read at a time.
+const CHUNK: usize = 16 * 1024;
+/// How long a server waits for the next request until it looks whether all is over.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Answers a request: method, target, body; status and body.
+pub type Handler = dyn Fn(&str, &str, &[u8]) -> (u16, Vec<u8>) + Send + Sync;
+
+/// Serves a free port of the loopback interface, each connection in a thread of its own, until all is over.
+pub fn serve(shared: Arc<Shared>, handler: Arc<Handler>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("its address");
+    listener.set_nonblocking(true).expect("non-blocking");
+    std::thread::spawn(move || {
+        while !shared.is_over() {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let (shared, handler) = (Arc::clone(&shared), Arc::clone(&handler));
+                    std::thread::spawn(move || serve_connection(&shared, &handler, stream));
+                }
+                Err(_) => std::thread::sleep(Duration::from_millis(2)),
+            }
+        }
+    });
+    addr
+}
+
+fn serve_connection(shared: &Shared, handler: &Arc<Handler>, mut stream: TcpStream) {
+    let _ = stream.set_nonblocking(false);
+    let _ = stream.set_nodelay(true);
+    let _ = stream.set_read_timeout(Some(LOOK));
+    let mut parser = RequestParser::default();
+    let mut chunk = vec![0; CHUNK];
+    while !shared.is_over() {
+        match parser.next_request() {
+            Ok(Some(request)) => {
+                let (status, body) = handler(&request.method, &request.target, &request.body);
+                let mut out = Vec::new();
+                encode_response(&mut out, status, None, &body, false);
+                if stream.write_all(&out).is_err() {
+                    return;
+                }
+                continue;
+            }
+            Ok(None) => {}
+            Err(_) => return,
+        }
+        match stream.read(&mut chunk) {
+            Ok(0) => return,
+            Ok(n) => parser.feed(&chunk[..n]),
+            Err(e) if is_timeout(&e) => {}
+            Err(_) => return,
+        }
+    }
+}
+
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+    )
+}
+
+/// Makes one call on a connection of its own.
+pub fn call(
+    addr: SocketAddr,
+    method: &str,
+    target: &str,
+    body: &[u8],
+    timeout: Duration,
+) -> io::Result<(u16, Vec<u8>)> {
+    let mut stream = TcpStream::connect_timeout(&addr, timeout)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(timeout))?;
+    let mut out = Vec::new();
+    encode_request(&mut out, method, &addr.to_string(), target, body);
+    stream.write_all(&out)?;
+    let mut parser = ResponseParser::default();
+    let mut chunk = vec![0; CHUNK];
+    loop {
+        let n = stream.read(&mut chunk)?;
+        if n == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        parser.feed(&chunk[..n]);
+        match parser.next_response() {
+            Ok(Some(response)) => return Ok((response.status, response.body)),
+            Ok(None) => {}
+            Err(_) => return Err(io::ErrorKind::InvalidData.into()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/controllers.rs
@@ -0,0 +1,175 @@
+//! Real controller processes on loopback.
+
+use crate::workers::{LEASE_MS, REPORT_MS};
+use crate::Outside;
+use std::fs::File;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// How long an orderly stop may take until the process is ended.
+const STOP_WITHIN: Duration = Duration::from_secs(5);
+
+/// Ports of the controllers of one run: a block of these.
+const FIRST_PORT: u16 = 12_000;
+const PORTS_IN_BLOCK: u16 = 100;
+const PORT_BLOCKS: u32 = 190;
+
+/// A build of the service, and what it is started with.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Build {
+    /// Its program.
+    pub program: PathBuf,
+    /// The operators' settings, if any.
+    pub operator: Option<PathBuf>,
+}
+
+/// The controllers of a cluster.
+pub struct Controllers {
+    folder: PathBuf,
+    labels: Vec<String>,
+    public: Vec<SocketAddr>,
+    back: Vec<SocketAddr>,
+    processes: Vec<Option<Child>>,
+    starts: usize,
+}
+
+impl Controllers {
+    /// Chooses addresses for so many controllers; their files go into `folder`.
+    pub fn new(folder: &Path, count: usize) -> io::Result<Self> {
+        std::fs::create_dir_all(folder)?;
+        let mut ports = free_ports();
+        let mut addresses = || -> io::Result<Vec<SocketAddr>> {
+            let found: Vec<SocketAddr> = ports.by_ref().take(count).collect();
+            match found.len() == count {
+                true => Ok(found),
+                false => Err(io::ErrorKind::AddrNotAvailable.into()),
+            }
+        };
+        Ok(Controllers {
+            folder: folder.to_path_buf(),
+            labels: (0..count).map(|i| format!("n{i}")).collect(),
+            public: addresses()?,
+            back: addresses()?,
+            processes: (0..count).map(|_| None).collect(),
+            starts: 0,
+        })
+    }
+
+    /// Their labels.
+    pub fn labels(&self) -> Vec<String> {
+        self.labels.clone()
+    }
+
+    /// Their addresses for users and workers.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.public.clone()
+    }
+
+    /// Starts a controller.
+    pub fn start(&mut self, number: usize, build: &Build, outside: &Outside) -> io::Result<()> {
+        let settings = self.folder.join(format!("n{number}.toml"));
+        std::fs::write(&settings, self.settings(number, outside))?;
+        self.starts += 1;
+        let log = File::create(self.folder.join(format!("n{number}-{}.log", self.starts)))?;
+        let mut command = Command::new(&build.program);
+        if let Some(operator) = &build.operator {
+            command.arg("--operator").arg(operator);
+        }
+        command
+            .arg("--config")
+            .arg(&settings)
+            .env("LOG_LEVEL", "info")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log);
+        self.processes[number] = Some(command.spawn()?);
+        Ok(())
+    }
+
+    /// Ends a controller without warning.
+    pub fn kill(&mut self, number: usize) {
+        if let Some(mut process) = self.processes[number].take() {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+
+    /// Asks a controller to stop, and waits until it has.
+    pub fn stop(&mut self, number: usize) -> io::Result<()> {
+        let Some(process) = &mut self.processes[number] else {
+            return Ok(());
+        };
+        let id = process.id().to_string();
+        Command::new("kill").arg("-TERM").arg(id).status()?;
+        let until = Instant::now() + STOP_WITHIN;
+        while Instant::now() < until {
+            if process.try_wait()?.is_some() {
+                self.processes[number] = None;
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        self.kill(number);
+        Err(io::Error::new(io::ErrorKind::TimedOut, "it did not stop"))
+    }
+
+    /// All log lines so far.
+    pub fn logs(&self) -> String {
+        let files = std::fs::read_dir(&self.folder)
+            .into_iter()
+            .flatten()
+            .flatten();
+        let logs = files.filter(|f| f.path().extension().is_some_and(|e| e == "log"));
+        let texts = logs.filter_map(|f| std::fs::read_to_string(f.path()).ok());
+        texts.collect()
+    }
+
+    fn settings(&self, number: usize, outside: &Outside) -> String {
+        let mut text = format!(
+            "label = \"{}\"\narea = \"a\"\npublic_addr = \"{}\"\nback = \"{}\"\n\
+             [outside]\ncloud = \"{}\"\nstate = \"{}\"\n",
+            self.labels[number],
+            self.public[number],
+            self.back[number],
+            outside.cloud_addr(),
+            outside.state_addr()
+        );
+        for other in (0..self.labels.len()).filter(|other| *other != number) {
+            text += &format!(
+                "[[siblings]]\nlabel = \"{}\"\narea = \"a\"\naddr = \"{}\"\n",
+                self.labels[other], self.back[other]
+            );
+        }
+        text + &format!(
+            "[deployment]\nzones = [\"a\"]\n[[deployment.teams]]\nname = \"t\"\n\
+             [[deployment.objectives]]\nkind = \"guarantee\"\n\
+             [deployment.workers]\nreport_s = {:.1}\nlease_s = {:.1}\ngang_wait_s = 35.0\n\
+             gang_peer_s = 8.0\ncancel_s = 30.0\n\
+             [deployment.state]\nrps = 400.0\nwrite_rps = 120.0\nvalue_kb = 16.0\ntxn_ops = 12\n\
+             [deployment.cloud]\nrps = 5.0\nlist_lag_s = 3.0\n\
+             [deployment.quota]\ncpu = 1.0\nmem_mb = 200.0\nmax_connections = 400\n",
+            REPORT_MS as f64 / 1000.0,
+            LEASE_MS as f64 / 1000.0
+        )
+    }
+}
+
+/// Addresses that nobody listens on, below the ports that the system hands out by itself: a controller that is down for a
+/// moment finds its own free again.
+fn free_ports() -> impl Iterator<Item = SocketAddr> {
+    let first = FIRST_PORT + (std::process::id() % PORT_BLOCKS) as u16 * PORTS_IN_BLOCK;
+    let all = first..first + PORTS_IN_BLOCK;
+    let addresses = all.map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    addresses.filter(|addr| TcpListener::bind(addr).is_ok())
+}
+
+impl Drop for Controllers {
+    fn drop(&mut self) {
+        for number in 0..self.processes.len() {
+            self.kill(number);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/users.rs
@@ -0,0 +1,111 @@
+//! Users: they submit jobs, ask about them, and cancel some.
+
+use crate::connections::call;
+use crate::{lock, Shared};
+use fakes::{array, Behaviour};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use wire::users::{JobStatus, Phase};
+
+/// How long a user waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Milliseconds between two submissions.
+const SUBMIT_EVERY: Duration = Duration::from_millis(250);
+/// Between two questions.
+const ASK_EVERY: Duration = Duration::from_millis(60);
+/// One job in so many is cancelled.
+const CANCELLED_PART: u64 = 6;
+/// Tries of a request until its user gives up.
+const TRIES: usize = 60;
+
+/// How the tasks of a job behave: some seconds each, by its number.
+pub(crate) fn behaviour(task: &str) -> Behaviour {
+    let job = task.split('/').next().unwrap_or_default();
+    let number: u64 = job.trim_start_matches("run-").parse().unwrap_or(0);
+    Behaviour {
+        fetch_ms: 50,
+        run_ms: 500 + 400 * (number % 5),
+        save_ms: 0,
+        gang: 0,
+        fails: false,
+    }
+}
+
+/// One thread submits and cancels, another asks.
+pub fn start(shared: Arc<Shared>) -> Vec<JoinHandle<()>> {
+    let (submitting, asking) = (Arc::clone(&shared), shared);
+    vec![
+        std::thread::spawn(move || submit_jobs(&submitting)),
+        std::thread::spawn(move || ask_about_jobs(&asking)),
+    ]
+}
+
+fn submit_jobs(shared: &Shared) {
+    let mut number = 0;
+    while !shared.is_over() && lock(&shared.history).takes_jobs() {
+        number += 1;
+        let id = format!("run-{number:06}");
+        let body = wire::encode(&array(&id, 1 + number % 4));
+        if let Some((_, now)) = ask_any(shared, "POST", "/submissions", &body) {
+            lock(&shared.history).accepted(&id, now);
+        }
+        if number % CANCELLED_PART == 0 {
+            cancel(shared, &id);
+        }
+        std::thread::sleep(SUBMIT_EVERY);
+    }
+}
+
+fn cancel(shared: &Shared, id: &str) {
+    lock(&shared.history).cancels(id);
+    let target = format!("/submissions/{id}/abort");
+    if let Some((body, now)) = ask_any(shared, "POST", &target, &[]) {
+        lock(&shared.history).told(id, phase_of(&body), now);
+    }
+}
+
+fn ask_about_jobs(shared: &Shared) {
+    while !shared.is_over() {
+        let open = lock(&shared.history).open_job_names();
+        for id in open {
+            if shared.is_over() {
+                return;
+            }
+            let target = format!("/submissions/{id}");
+            let node = fastrand::usize(..shared.controllers.len());
+            match call(shared.controllers[node], "GET", &target, &[], PATIENCE) {
+                Ok((200, body)) => {
+                    lock(&shared.history).told(&id, phase_of(&body), shared.now_ms());
+                }
+                Ok((404, _)) => lock(&shared.history).told(&id, None, shared.now_ms()),
+                _ => lock(&shared.history).refused(),
+            }
+            std::thread::sleep(ASK_EVERY);
+        }
+        std::thread::sleep(ASK_EVERY);
+    }
+}
+
+fn phase_of(body: &[u8]) -> Option<Phase> {
+    wire::decode::<JobStatus>(body)
+        .ok()
+        .map(|status| status.phase)
+}
+
+/// Asks one controller after the other until one answers well: its answer and when it came.
+fn ask_any(shared: &Shared, method: &str, target: &str, body: &[u8]) -> Option<(Vec<u8>, u64)> {
+    let first = fastrand::usize(..shared.controllers.len());
+    for number in 0..TRIES {
+        if shared.is_over() {
+            return None;
+        }
+        let addr = shared.controllers[(first + number) % shared.controllers.len()];
+        match call(addr, method, target, body, PATIENCE) {
+            Ok((200 | 201, answer)) => return Some((answer, shared.now_ms())),
+            _ => lock(&shared.history).refused(),
+        }
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    None
+}
