--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -400,6 +400,8 @@
 /// Share of the callers' sockets in use from which a worker's connection is closed after each answer, so that more
 /// workers than there are sockets take turns instead of some being refused until their leases end.
 pub const CROWDED_SHARE: f64 = 0.95;
+/// Milliseconds for which sockets count as short after a connection found none: some reports of each worker.
+pub const CROWDED_MS: u64 = 10_000;
 /// Milliseconds an idle connection of a caller other than a worker is kept when sockets run short: users come
 /// back every few seconds and can connect anew, a worker that can't loses its lease.
 pub const IDLE_CONN_MS: u64 = 1_000;
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -40,6 +40,13 @@
     idle_until: u64,
 }
 
+impl Held {
+    /// The answer waits no longer for a task that may never come.
+    pub fn do_not_idle(&mut self) {
+        self.idle_until = 0;
+    }
+}
+
 impl Leader {
     /// A worker's report. `active` tells whether starts may be sent.
     pub fn on_report(&mut self, report: Report, active: bool, now: Now) -> Heard {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -46,6 +46,8 @@
     out: VecDeque<Output>,
     machine_types: MachineTypesReader,
     forwarded: ForwardedRequests,
+    /// Sockets are short: answers are not held for work that may never come.
+    is_crowded: bool,
     last_now: Now,
     last_tick: u64,
 }
@@ -81,6 +83,7 @@
             out: VecDeque::new(),
             machine_types: MachineTypesReader::new(now.mono),
             forwarded: ForwardedRequests::new(process_base(boot)),
+            is_crowded: false,
             last_now: now,
             last_tick: 0,
             operator,
@@ -94,6 +97,11 @@
         self.out.pop_front()
     }
 
+    /// Tells whether callers' sockets are short. An answer that is held keeps its worker's socket from another worker.
+    pub fn set_crowded(&mut self, is_crowded: bool) {
+        self.is_crowded = is_crowded;
+    }
+
     /// Term, if this node leads.
     pub fn leads(&self) -> Option<u64> {
         self.election.leads()
@@ -335,7 +343,12 @@
         };
         match leader.on_report(report, active, now) {
             Heard::Answer(answer) => mail.respond(id, 200, wire::encode(&answer)),
-            Heard::Hold(held) => self.held_answers.push(id, held),
+            Heard::Hold(mut held) => {
+                if self.is_crowded {
+                    held.do_not_idle();
+                }
+                self.held_answers.push(id, held);
+            }
             Heard::Newer(term) => {
                 self.election.heard_term(term, mail);
                 mail.refuse(id, 503, "a newer leader exists");
--- a/crates/control/tests/upgrade.rs
+++ b/crates/control/tests/upgrade.rs
@@ -8,6 +8,7 @@
 
 use common::*;
 use fakes::{array, gang, World};
+use rollout::levels::GENERATION_1 as GENERATION;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use wire::records::*;
--- a/crates/standins/src/connections.rs
+++ b/crates/standins/src/connections.rs
@@ -1,7 +1,7 @@
 //! HTTP over blocking sockets.
 
 use crate::Shared;
-use http::{encode_request, encode_response, RequestParser, ResponseParser};
+use http::{encode_request, encode_response, RequestParser, Response, ResponseParser};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -78,12 +78,43 @@
     body: &[u8],
     timeout: Duration,
 ) -> io::Result<(u16, Vec<u8>)> {
-    let mut stream = TcpStream::connect_timeout(&addr, timeout)?;
-    stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(timeout))?;
-    let mut out = Vec::new();
-    encode_request(&mut out, method, &addr.to_string(), target, body);
-    stream.write_all(&out)?;
+    Client::default().call(addr, method, target, body, timeout)
+}
+
+/// A caller that keeps its connection until one side closes it, or it calls somebody else.
+#[derive(Default)]
+pub struct Client {
+    open: Option<(SocketAddr, TcpStream)>,
+}
+
+impl Client {
+    /// Makes a call.
+    pub fn call(
+        &mut self,
+        addr: SocketAddr,
+        method: &str,
+        target: &str,
+        body: &[u8],
+        timeout: Duration,
+    ) -> io::Result<(u16, Vec<u8>)> {
+        let mut stream = match self.open.take() {
+            Some((to, stream)) if to == addr => stream,
+            _ => TcpStream::connect_timeout(&addr, timeout)?,
+        };
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(timeout))?;
+        let mut out = Vec::new();
+        encode_request(&mut out, method, &addr.to_string(), target, body);
+        stream.write_all(&out)?;
+        let response = read_response(&mut stream)?;
+        if !response.close {
+            self.open = Some((addr, stream));
+        }
+        Ok((response.status, response.body))
+    }
+}
+
+fn read_response(stream: &mut TcpStream) -> io::Result<Response> {
     let mut parser = ResponseParser::default();
     let mut chunk = vec![0; CHUNK];
     loop {
@@ -93,7 +124,7 @@
         }
         parser.feed(&chunk[..n]);
         match parser.next_response() {
-            Ok(Some(response)) => return Ok((response.status, response.body)),
+            Ok(Some(response)) => return Ok(response),
             Ok(None) => {}
             Err(_) => return Err(io::ErrorKind::InvalidData.into()),
         }
--- a/crates/standins/src/controllers.rs
+++ b/crates/standins/src/controllers.rs
@@ -12,6 +12,8 @@
 /// How long an orderly stop may take until the process is ended.
 const STOP_WITHIN: Duration = Duration::from_secs(5);
 
+/// Sockets of a controller, unless they are limited.
+const SOCKETS: usize = 400;
 /// Ports of the controllers of one run: a block of these.
 const FIRST_PORT: u16 = 12_000;
 const PORTS_IN_BLOCK: u16 = 100;
@@ -34,6 +36,8 @@
     back: Vec<SocketAddr>,
     processes: Vec<Option<Child>>,
     starts: usize,
+    /// Sockets that each may hold.
+    sockets: usize,
 }
 
 impl Controllers {
@@ -55,9 +59,15 @@
             back: addresses()?,
             processes: (0..count).map(|_| None).collect(),
             starts: 0,
+            sockets: SOCKETS,
         })
     }
 
+    /// Controllers that are started from now on may hold so many sockets.
+    pub fn limit_sockets(&mut self, sockets: usize) {
+        self.sockets = sockets;
+    }
+
     /// Their labels.
     pub fn labels(&self) -> Vec<String> {
         self.labels.clone()
@@ -150,9 +160,10 @@
              gang_peer_s = 8.0\ncancel_s = 30.0\n\
              [deployment.state]\nrps = 400.0\nwrite_rps = 120.0\nvalue_kb = 16.0\ntxn_ops = 12\n\
              [deployment.cloud]\nrps = 5.0\nlist_lag_s = 3.0\n\
-             [deployment.quota]\ncpu = 1.0\nmem_mb = 200.0\nmax_connections = 400\n",
+             [deployment.quota]\ncpu = 1.0\nmem_mb = 200.0\nmax_connections = {}\n",
             REPORT_MS as f64 / 1000.0,
-            LEASE_MS as f64 / 1000.0
+            LEASE_MS as f64 / 1000.0,
+            self.sockets
         )
     }
 }
--- a/crates/standins/src/history.rs
+++ b/crates/standins/src/history.rs
@@ -22,6 +22,7 @@
     answers: Vec<u64>,
     starts: Vec<u64>,
     refused: u64,
+    lapses: u64,
     breaches: Vec<String>,
     ends: bool,
 }
@@ -60,6 +61,21 @@
         self.refused += 1;
     }
 
+    /// A worker's lease has ended.
+    pub(crate) fn lapsed(&mut self) {
+        self.lapses += 1;
+    }
+
+    /// Leases of workers that have ended.
+    pub fn lapses(&self) -> u64 {
+        self.lapses
+    }
+
+    /// Machines on which something runs now.
+    pub fn busy_machines(&self) -> usize {
+        self.live.values().filter(|tasks| !tasks.is_empty()).count()
+    }
+
     /// A user was told of a job's phase; `None` that there is no such job.
     pub(crate) fn told(&mut self, job: &str, phase: Option<Phase>, now: u64) {
         self.answers.push(now);
--- a/crates/standins/src/workers.rs
+++ b/crates/standins/src/workers.rs
@@ -1,6 +1,6 @@
 //! Workers: one thread a machine, which reports and runs tasks.
 
-use crate::connections::call;
+use crate::connections::Client;
 use crate::users::behaviour;
 use crate::{lock, Shared};
 use fakes::{FakeWorker, Gang, KIND};
@@ -24,15 +24,20 @@
     std::thread::spawn(move || {
         let mut worker = FakeWorker::new(&name, "a", false, shared.now_ms());
         worker.node = fastrand::usize(..shared.controllers.len());
+        let mut client = Client::default();
         while !shared.is_over() {
-            step(&shared, &mut worker);
+            step(&shared, &mut worker, &mut client);
         }
     })
 }
 
-fn step(shared: &Shared, worker: &mut FakeWorker) {
+fn step(shared: &Shared, worker: &mut FakeWorker, client: &mut Client) {
     let now = shared.now_ms();
+    let session = worker.session;
     worker.wake(now, LEASE_MS);
+    if worker.session != session {
+        lock(&shared.history).lapsed();
+    }
     let done = worker.advance(
         now,
         GANG_PEER_MS,
@@ -45,14 +50,14 @@
     if now < worker.report_at {
         return std::thread::sleep(LOOK);
     }
-    report(shared, worker, now);
+    report(shared, worker, client, now);
 }
 
-fn report(shared: &Shared, worker: &mut FakeWorker, now: u64) {
+fn report(shared: &Shared, worker: &mut FakeWorker, client: &mut Client, now: u64) {
     worker.report_at = now + REPORT_MS;
     let body = wire::encode(&worker.report(KIND, now));
     let addr = shared.controllers[worker.node];
-    let answer = call(addr, "POST", "/v1/report", &body, PATIENCE);
+    let answer = client.call(addr, "POST", "/v1/report", &body, PATIENCE);
     let nodes = shared.controllers.len();
     match answer {
         Ok((200, body)) => {
--- a/crates/vetchmount/src/daemon.rs
+++ b/crates/vetchmount/src/daemon.rs
@@ -3,7 +3,7 @@
 use crate::clients::{Call, Clients, Outcome};
 use crate::net::{Conn, KeySequence, Listener};
 use crate::peer_links::PeerLinks;
-use crate::servers::{Arrived, Servers};
+use crate::servers::{Answer, Arrived, Servers};
 use constants::*;
 use control::{Input, Node, Now, Operator, Output, Settings, Target};
 use polling::{Events, Poller};
@@ -140,6 +140,7 @@
             }
             self.clients
                 .expire(&self.poller, &mut self.keys, now.mono, &mut done);
+            self.node.set_crowded(self.servers.is_crowded(now.mono));
             self.feed(now, &mut arrived, &mut done);
             if now.mono >= self.node.next_wake() {
                 self.node.tick(now);
@@ -271,8 +272,14 @@
                     retry_after_s,
                     body,
                 } => {
+                    let answer = Answer {
+                        id,
+                        status,
+                        retry_after_s,
+                        body,
+                    };
                     self.servers
-                        .respond(&self.poller, id, status, retry_after_s, &body, arrived);
+                        .respond(&self.poller, &answer, now.mono, arrived);
                 }
                 Output::Call {
                     call,
--- a/crates/vetchmount/src/servers.rs
+++ b/crates/vetchmount/src/servers.rs
@@ -27,6 +27,18 @@
     pub worker: bool,
 }
 
+/// The answer to a request.
+pub struct Answer {
+    /// The request's number.
+    pub id: u64,
+    /// HTTP status.
+    pub status: u16,
+    /// Seconds until the caller should come back.
+    pub retry_after_s: Option<u32>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
 /// All connections of callers.
 pub struct Servers {
     conns: HashMap<usize, Served>,
@@ -35,6 +47,8 @@
     limit: usize,
     /// Connections from which on workers' are closed after each answer.
     crowded: usize,
+    /// Until when sockets count as short because a connection found none.
+    crowded_until: u64,
 }
 
 impl Servers {
@@ -48,9 +62,15 @@
             next_request: 0,
             limit,
             crowded: (limit as f64 * CROWDED_SHARE) as usize,
+            crowded_until: 0,
         }
     }
 
+    /// Whether sockets are short.
+    pub fn is_crowded(&self, now: u64) -> bool {
+        self.conns.len() >= self.crowded || now < self.crowded_until
+    }
+
     /// Whether a key is one of these connections.
     pub fn has(&self, key: usize) -> bool {
         self.conns.contains_key(&key)
@@ -59,6 +79,7 @@
     /// Takes a new connection, making room by closing the one that idled longest.
     pub fn add(&mut self, poller: &Poller, conn: Conn, key: usize, now: u64) {
         if self.conns.len() >= self.limit {
+            self.crowded_until = now + CROWDED_MS;
             let idle = self
                 .conns
                 .iter()
@@ -160,22 +181,26 @@
     pub fn respond(
         &mut self,
         poller: &Poller,
-        id: u64,
-        status: u16,
-        retry_after_s: Option<u32>,
-        body: &[u8],
+        answer: &Answer,
+        now: u64,
         arrived: &mut Vec<Arrived>,
     ) {
-        let Some(key) = self.by_request.remove(&id) else {
+        let Some(key) = self.by_request.remove(&answer.id) else {
             return;
         };
-        let is_crowded = self.conns.len() >= self.crowded;
+        let is_crowded = self.is_crowded(now);
         let Some(s) = self.conns.get_mut(&key) else {
             return;
         };
         let asked_to_close = s.open.take().is_some_and(|(_, close)| close);
         let close = asked_to_close || (s.worker && is_crowded);
-        encode_response(s.conn.out(), status, retry_after_s, body, close);
+        encode_response(
+            s.conn.out(),
+            answer.status,
+            answer.retry_after_s,
+            &answer.body,
+            close,
+        );
         s.closing |= close;
         let failed = s.conn.flush(poller).is_err();
         if failed || (s.closing && s.conn.backlog() == 0) {
--- a/crates/vetchmount/tests/staged_upgrade_processes.rs
+++ b/crates/vetchmount/tests/staged_upgrade_processes.rs
@@ -117,6 +117,30 @@
     std::fs::remove_dir_all(&folder).expect("the folder goes again");
 }
 
+/// One controller with 25 sockets for callers and 40 workers: they take turns, and the lease of none ends.
+#[test]
+fn more_workers_than_sockets_take_turns() {
+    let folder = folder("few-sockets");
+    let build = Build {
+        program: program(),
+        operator: None,
+    };
+    let mut controllers = Controllers::new(&folder, 1).expect("controllers");
+    controllers.limit_sockets(32);
+    let mut outside = Outside::start(controllers.labels(), controllers.addresses(), 40);
+    controllers.start(0, &build, &outside).expect("a process");
+    outside.start_users();
+    pause(30_000);
+    let lapses = outside.history().lapses();
+    assert!(outside.drain(WITHIN_MS), "every job is over");
+    let breaches = outside.history().breaches().to_vec();
+    outside.stop();
+    drop(controllers);
+    std::fs::remove_dir_all(&folder).expect("the folder goes again");
+    assert!(breaches.is_empty(), "{breaches:?}");
+    assert_eq!(lapses, 0, "leases that ended");
+}
+
 #[test]
 fn operators_settings_that_can_not_be_used_are_refused_with_the_field_named() {
     let folder = folder("rollout-settings");
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -36,9 +36,6 @@
 /// Key of the mark: the generation that every node is known to run, which never goes back.
 pub const MARK: &str = "vmark";
 
-/// Generation of this version: what it may write once all nodes are known to read it.
-pub const GENERATION: u32 = 1;
-
 /// A generation, of a node or of all.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct GenerationRecord {
