--- a/crates/control/src/heartbeat.rs
+++ b/crates/control/src/heartbeat.rs
@@ -158,3 +158,6 @@
         message: PeerMessage::Counts { term, jobs },
     });
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -20,6 +20,7 @@
 mod request;
 mod snapshot;
 mod status;
+mod supervision;
 
 pub use gates::Gates;
 pub use generation::GenerationMachine;
--- a/crates/rollout/src/machine.rs
+++ b/crates/rollout/src/machine.rs
@@ -2,15 +2,15 @@
 
 use crate::gates::Gates;
 use crate::levels::{Feature, Level, LevelRange, GENERATION_1};
-use crate::observation::{Liveness, Observations};
+use crate::observation::Liveness;
 use crate::plan::{self, Controller, Transition, View};
 use crate::request::{Event, Reply, Request};
 use crate::snapshot::{Snapshot, Stored};
 use crate::status::{ControllerStatus, RolloutStatus};
-use constants::{CALM_MS, ELECTION_DEFER_MS, GENERATION_POLL_MS, LEVEL_POLL_MS};
+use crate::supervision::Supervision;
+use constants::{ELECTION_DEFER_MS, GENERATION_POLL_MS, LEVEL_POLL_MS};
 use serde::de::DeserializeOwned;
-use std::collections::BTreeMap;
-use wire::records::{PauseReason, Phase, LEADER, LEVEL, MARK, MEMBERS, ROLLOUT, TERM};
+use wire::records::{Phase, LEADER, LEVEL, MARK, MEMBERS, ROLLOUT, TERM};
 use wire::state::{Guard, Item};
 
 /// Who a process is.
@@ -71,31 +71,13 @@
     pub events: Vec<Event>,
 }
 
-/// Since when something of the level record has been the same, by our own steady clock.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Since<T> {
-    value: T,
-    at: u64,
-}
-
-impl<T: PartialEq> Since<T> {
-    /// Notes a value; counts anew if it is another one.
-    fn note(slot: &mut Option<Since<T>>, value: T, now: u64) {
-        if slot.as_ref().is_none_or(|known| known.value != value) {
-            *slot = Some(Since { value, at: now });
-        }
-    }
-}
-
 /// The state machine of one controller.
 pub struct RolloutMachine {
     identity: Identity,
-    /// Labels of all configured controllers, this one included.
-    labels: Vec<String>,
     policy: Policy,
     gates: Gates,
     admission: Admission,
-    observations: Observations,
+    supervision: Supervision,
     /// What was read last, whole.
     snapshot: Option<Snapshot>,
     /// What is being read.
@@ -108,27 +90,17 @@
     proof: Option<&'static str>,
     /// The leader, as the election knows it.
     leader: Option<String>,
-    /// The transition since which the level soaks, without trouble.
-    soak: Option<Since<u64>>,
-    /// Transition and announcement after which nothing has moved.
-    progress: Option<Since<(u64, u64)>>,
-    /// Processes of controllers that are not configured, and when one was seen to be new.
-    strangers: BTreeMap<String, u64>,
-    stranger_seen: Option<Since<String>>,
-    /// Controllers that were said to be unannounced.
-    unannounced: Vec<String>,
 }
 
 impl RolloutMachine {
     /// A process that has just started. `siblings` are the labels of the other controllers.
     pub fn new(identity: Identity, siblings: impl Iterator<Item = String>, policy: Policy) -> Self {
         RolloutMachine {
-            labels: siblings.chain([identity.label.clone()]).collect(),
+            supervision: Supervision::new(&identity, siblings, policy),
             gates: Gates::closed(identity.range),
             identity,
             policy,
             admission: Admission::Pending,
-            observations: Observations::default(),
             snapshot: None,
             reading: Snapshot::default(),
             read_from: String::new(),
@@ -137,11 +109,6 @@
             next_at: 0,
             proof: None,
             leader: None,
-            soak: None,
-            progress: None,
-            strangers: BTreeMap::new(),
-            stranger_seen: None,
-            unannounced: Vec::new(),
         }
     }
 
@@ -183,9 +150,9 @@
         let newer = |label: &&String| {
             let member = snapshot.member(label);
             member.is_some_and(|m| m.newest > self.identity.range.newest())
-                && self.liveness(label, snapshot, now) == Liveness::Confirmed
+                && self.supervision.liveness(label, snapshot, now) == Liveness::Confirmed
         };
-        match self.labels.iter().find(newer) {
+        match self.supervision.labels().iter().find(newer) {
             Some(_) => ELECTION_DEFER_MS,
             None => 0,
         }
@@ -198,7 +165,7 @@
         };
         let member = snapshot.member(label);
         member.is_some_and(|m| feature.is_in(m.newest))
-            && self.liveness(label, snapshot, now) == Liveness::Confirmed
+            && self.supervision.liveness(label, snapshot, now) == Liveness::Confirmed
     }
 
     /// Newest level that another controller has announced, for choosing among several.
@@ -210,7 +177,7 @@
 
     /// A heartbeat of another controller arrived.
     pub fn on_heartbeat(&mut self, label: &str, boot: u64, now: u64) {
-        self.observations.on_heartbeat(label, boot, now);
+        self.supervision.on_heartbeat(label, boot, now);
     }
 
     /// The process stood still, or was told that the level has changed: what it read may not hold any more.
@@ -219,7 +186,7 @@
         self.step = Step::Rest;
         self.busy = false;
         self.next_at = now;
-        self.soak = None;
+        self.supervision.forget_soak();
     }
 
     /// Something happened that happens only when every controller runs generation 1.
@@ -359,14 +326,8 @@
                 phase,
             });
         }
-        if let Some(level) = level {
-            let moved = (level.number, level.announcements);
-            Since::note(&mut self.progress, moved, now);
-        }
         self.admit(snapshot, &mut events);
-        self.note_strangers(snapshot, now, &mut events);
-        self.note_unannounced(snapshot, now, &mut events);
-        self.note_soak(snapshot, now);
+        self.supervision.note(snapshot, now, &mut events);
         events
     }
 
@@ -410,86 +371,6 @@
         self.admission = now_is;
     }
 
-    /// Announcements of controllers that are not configured don't count, but one that has just been made shows that such
-    /// a controller is running.
-    fn note_strangers(&mut self, snapshot: &Snapshot, now: u64, events: &mut Vec<Event>) {
-        for (label, member) in &snapshot.members {
-            let Some(member) = member.record().filter(|_| !self.labels.contains(label)) else {
-                continue;
-            };
-            match self.strangers.insert(label.clone(), member.boot) {
-                None => events.push(Event::UnknownMember {
-                    label: label.clone(),
-                }),
-                Some(boot) if boot != member.boot => {
-                    self.stranger_seen = Some(Since {
-                        value: label.clone(),
-                        at: now,
-                    });
-                }
-                Some(_) => {}
-            }
-        }
-    }
-
-    fn note_unannounced(&mut self, snapshot: &Snapshot, now: u64, events: &mut Vec<Event>) {
-        let controllers = self.controllers(snapshot, now);
-        let unannounced = controllers
-            .into_iter()
-            .filter(|c| c.liveness == Liveness::Unannounced);
-        let unannounced: Vec<String> = unannounced.map(|c| c.label).collect();
-        for label in unannounced.iter().filter(|l| !self.unannounced.contains(l)) {
-            events.push(Event::Unannounced {
-                label: label.clone(),
-                finalized: snapshot.finalized(),
-            });
-        }
-        self.unannounced = unannounced;
-    }
-
-    /// The time for which a level has been active without trouble is taken by the steady clock of the controller that
-    /// decides, from when it first saw it, and anew after each restart or silence.
-    fn note_soak(&mut self, snapshot: &Snapshot, now: u64) {
-        let level = snapshot.level.record();
-        let Some(level) = level.filter(|l| l.phase == Phase::Soaking && l.pause.is_none()) else {
-            self.soak = None;
-            return;
-        };
-        let controllers = self.controllers(snapshot, now);
-        let confirmed = controllers
-            .iter()
-            .all(|c| c.liveness == Liveness::Confirmed);
-        let restarted = |soak: &Since<u64>| {
-            let last = self.observations.last_restart();
-            last.is_some_and(|at| at > soak.at)
-        };
-        if !confirmed || self.soak.as_ref().is_some_and(restarted) {
-            self.soak = None;
-        }
-        if confirmed {
-            Since::note(&mut self.soak, level.number, now);
-        }
-    }
-
-    fn liveness(&self, label: &str, snapshot: &Snapshot, now: u64) -> Liveness {
-        let announced = snapshot.member(label).map(|m| m.boot);
-        if label == self.identity.label {
-            return match announced == Some(self.identity.boot) {
-                true => Liveness::Confirmed,
-                false => Liveness::Settling,
-            };
-        }
-        self.observations.liveness(label, announced, now)
-    }
-
-    fn controllers(&self, snapshot: &Snapshot, now: u64) -> Vec<Controller> {
-        let controller = |label: &String| Controller {
-            label: label.clone(),
-            liveness: self.liveness(label, snapshot, now),
-        };
-        self.labels.iter().map(controller).collect()
-    }
-
     /// Writes what is due, if anything.
     fn act(&mut self, snapshot: &Snapshot, now: u64, unix: u64) -> Output {
         if !self.is_admitted() {
@@ -517,7 +398,7 @@
     }
 
     fn move_on(&mut self, snapshot: &Snapshot, now: u64, unix: u64) -> Option<Output> {
-        let controllers = self.controllers(snapshot, now);
+        let controllers = self.supervision.controllers(snapshot, now);
         let view = self.view(snapshot, &controllers, now, unix);
         let transition = view.next_transition()?;
         let txn = plan::transaction(snapshot, &transition)?;
@@ -532,12 +413,12 @@
         now: u64,
         unix: u64,
     ) -> View<'a> {
-        let soaked = |soak: Since<u64>| now >= soak.at + self.policy.soak_ms;
+        let before = self.snapshot.as_ref();
         View {
             snapshot,
             controllers,
-            trouble: self.trouble(snapshot, controllers, now),
-            may_finalize: self.policy.finalizes && self.soak.is_some_and(soaked),
+            trouble: self.supervision.trouble(before, snapshot, now),
+            may_finalize: self.policy.finalizes && self.supervision.has_soaked(now),
             unix,
         }
     }
@@ -547,95 +428,22 @@
     fn decides(&self, snapshot: &Snapshot, now: u64) -> bool {
         let takes_part = |label: &str| {
             label == self.identity.label
-                || self.liveness(label, snapshot, now) == Liveness::Confirmed
+                || self.supervision.liveness(label, snapshot, now) == Liveness::Confirmed
         };
         match self.leader.as_deref().filter(|l| takes_part(l)) {
             Some(leader) => leader == self.identity.label,
             None => {
-                let mut labels = self.labels.iter().filter(|l| takes_part(l));
+                let mut labels = self.supervision.labels().iter().filter(|l| takes_part(l));
                 labels.all(|l| *l >= self.identity.label)
             }
         }
     }
 
-    /// What speaks against going on.
-    fn trouble(
-        &self,
-        snapshot: &Snapshot,
-        controllers: &[Controller],
-        now: u64,
-    ) -> Option<PauseReason> {
-        let level = snapshot.level.record()?;
-        if level.target <= level.active && level.phase != Phase::Soaking {
-            return None;
-        }
-        let stranger = self.stranger_seen.as_ref();
-        if let Some(stranger) = stranger.filter(|s| now < s.at + CALM_MS) {
-            let label = stranger.value.clone();
-            return Some(PauseReason::Unknown { label });
-        }
-        if let Some(label) = self.observations.restarting(now) {
-            let label = label.to_string();
-            return Some(PauseReason::Restarting { label });
-        }
-        if let Some(pause @ PauseReason::Regressed { .. }) = &level.pause {
-            let supports = |c: &Controller| {
-                let member = snapshot.member(&c.label);
-                member.is_some_and(|m| m.newest >= level.target)
-                    && c.liveness == Liveness::Confirmed
-            };
-            let returned = controllers.iter().all(supports);
-            if !returned || !self.observations.is_calm(now) {
-                return Some(pause.clone());
-            }
-        }
-        self.stall(level.phase, snapshot, controllers, now)
-    }
-
-    /// An upgrade in which nothing has moved for too long.
-    fn stall(
-        &self,
-        phase: Phase,
-        snapshot: &Snapshot,
-        controllers: &[Controller],
-        now: u64,
-    ) -> Option<PauseReason> {
-        let stalls = matches!(phase, Phase::Mixed | Phase::Ready);
-        let is_paused = snapshot.level.record().and_then(|l| l.pause.as_ref());
-        // The pause itself is no progress.
-        let was_stalled = matches!(is_paused, Some(PauseReason::Stalled { .. }));
-        let for_long = self.progress.is_some_and(|p| {
-            let waits_ms = self.policy.stall_ms;
-            now >= p.at + waits_ms || (was_stalled && !self.has_moved_since_pause(snapshot))
-        });
-        if !stalls || !for_long {
-            return None;
-        }
-        let target = snapshot.level.record()?.target;
-        let lacks = |c: &&Controller| {
-            let member = snapshot.member(&c.label);
-            member.is_none_or(|m| m.newest < target) || c.liveness != Liveness::Confirmed
-        };
-        let label = controllers.iter().find(lacks).map(|c| c.label.clone());
-        Some(PauseReason::Stalled {
-            label: label.unwrap_or_else(|| self.identity.label.clone()),
-        })
-    }
-
-    /// Whether a controller has announced itself since the upgrade was paused as stalled.
-    fn has_moved_since_pause(&self, snapshot: &Snapshot) -> bool {
-        let before = self.snapshot.as_ref().and_then(|s| s.level.record());
-        let (Some(before), Some(level)) = (before, snapshot.level.record()) else {
-            return false;
-        };
-        level.announcements > before.announcements
-    }
-
     /// The state of the upgrade, if it has been read.
     pub fn status(&self, now: u64) -> Option<RolloutStatus> {
         let snapshot = self.snapshot.as_ref()?;
         let level = snapshot.level.record()?;
-        let controllers = self.controllers(snapshot, now);
+        let controllers = self.supervision.controllers(snapshot, now);
         let view = self.view(snapshot, &controllers, now, level.since);
         let status = |c: &Controller| {
             let member = snapshot.member(&c.label);
--- /dev/null
+++ b/crates/rollout/src/supervision.rs
@@ -0,0 +1,258 @@
+//! Watching over an upgrade: who is heard, for how long a level has been active without trouble, and what speaks against
+//! going on.
+
+use crate::machine::{Identity, Policy};
+use crate::observation::{Liveness, Observations};
+use crate::plan::Controller;
+use crate::request::Event;
+use crate::snapshot::Snapshot;
+use constants::CALM_MS;
+use std::collections::BTreeMap;
+use wire::records::{PauseReason, Phase};
+
+/// Since when something of the level record has been the same, by our own steady clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Since<T> {
+    value: T,
+    at: u64,
+}
+
+impl<T: PartialEq> Since<T> {
+    /// Notes a value; counts anew if it is another one.
+    fn note(slot: &mut Option<Since<T>>, value: T, now: u64) {
+        if slot.as_ref().is_none_or(|known| known.value != value) {
+            *slot = Some(Since { value, at: now });
+        }
+    }
+}
+
+/// What one controller observes of an upgrade.
+pub(crate) struct Supervision {
+    /// Label and process of this controller.
+    label: String,
+    boot: u64,
+    /// Labels of all configured controllers, this one included.
+    labels: Vec<String>,
+    policy: Policy,
+    observations: Observations,
+    /// The transition since which the level soaks, without trouble.
+    soak: Option<Since<u64>>,
+    /// Transition and announcement after which nothing has moved.
+    progress: Option<Since<(u64, u64)>>,
+    /// Processes of controllers that are not configured.
+    strangers: BTreeMap<String, u64>,
+    /// One of those that was seen to be new, and when.
+    stranger_seen: Option<Since<String>>,
+    /// Controllers that were said to be unannounced.
+    unannounced: Vec<String>,
+}
+
+impl Supervision {
+    pub fn new(
+        identity: &Identity,
+        siblings: impl Iterator<Item = String>,
+        policy: Policy,
+    ) -> Self {
+        Supervision {
+            label: identity.label.clone(),
+            boot: identity.boot,
+            labels: siblings.chain([identity.label.clone()]).collect(),
+            policy,
+            observations: Observations::default(),
+            soak: None,
+            progress: None,
+            strangers: BTreeMap::new(),
+            stranger_seen: None,
+            unannounced: Vec::new(),
+        }
+    }
+
+    /// Labels of all configured controllers.
+    pub fn labels(&self) -> &[String] {
+        &self.labels
+    }
+
+    pub fn on_heartbeat(&mut self, label: &str, boot: u64, now: u64) {
+        self.observations.on_heartbeat(label, boot, now);
+    }
+
+    /// The time without trouble counts anew.
+    pub fn forget_soak(&mut self) {
+        self.soak = None;
+    }
+
+    /// Whether a level has been active without trouble for as long as it must.
+    pub fn has_soaked(&self, now: u64) -> bool {
+        let soaked = |soak: Since<u64>| now >= soak.at + self.policy.soak_ms;
+        self.soak.is_some_and(soaked)
+    }
+
+    /// Notes what was read.
+    pub fn note(&mut self, snapshot: &Snapshot, now: u64, events: &mut Vec<Event>) {
+        if let Some(level) = snapshot.level.record() {
+            let moved = (level.number, level.announcements);
+            Since::note(&mut self.progress, moved, now);
+        }
+        self.note_strangers(snapshot, now, events);
+        self.note_unannounced(snapshot, now, events);
+        self.note_soak(snapshot, now);
+    }
+
+    /// Announcements of controllers that are not configured don't count, but one that has just been made shows that such
+    /// a controller is running.
+    fn note_strangers(&mut self, snapshot: &Snapshot, now: u64, events: &mut Vec<Event>) {
+        for (label, member) in &snapshot.members {
+            let Some(member) = member.record().filter(|_| !self.labels.contains(label)) else {
+                continue;
+            };
+            match self.strangers.insert(label.clone(), member.boot) {
+                None => events.push(Event::UnknownMember {
+                    label: label.clone(),
+                }),
+                Some(boot) if boot != member.boot => {
+                    self.stranger_seen = Some(Since {
+                        value: label.clone(),
+                        at: now,
+                    });
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
+    fn note_unannounced(&mut self, snapshot: &Snapshot, now: u64, events: &mut Vec<Event>) {
+        let controllers = self.controllers(snapshot, now);
+        let unannounced = controllers
+            .into_iter()
+            .filter(|c| c.liveness == Liveness::Unannounced);
+        let unannounced: Vec<String> = unannounced.map(|c| c.label).collect();
+        for label in unannounced.iter().filter(|l| !self.unannounced.contains(l)) {
+            events.push(Event::Unannounced {
+                label: label.clone(),
+                finalized: snapshot.finalized(),
+            });
+        }
+        self.unannounced = unannounced;
+    }
+
+    /// The time for which a level has been active without trouble is taken by the steady clock of the controller that
+    /// decides, from when it first saw it, and anew after each restart or silence.
+    fn note_soak(&mut self, snapshot: &Snapshot, now: u64) {
+        let level = snapshot.level.record();
+        let Some(level) = level.filter(|l| l.phase == Phase::Soaking && l.pause.is_none()) else {
+            self.soak = None;
+            return;
+        };
+        let controllers = self.controllers(snapshot, now);
+        let confirmed = controllers
+            .iter()
+            .all(|c| c.liveness == Liveness::Confirmed);
+        let restarted = |soak: &Since<u64>| {
+            let last = self.observations.last_restart();
+            last.is_some_and(|at| at > soak.at)
+        };
+        if !confirmed || self.soak.as_ref().is_some_and(restarted) {
+            self.soak = None;
+        }
+        if confirmed {
+            Since::note(&mut self.soak, level.number, now);
+        }
+    }
+
+    /// How a controller's heartbeats compare with what it has announced.
+    pub fn liveness(&self, label: &str, snapshot: &Snapshot, now: u64) -> Liveness {
+        let announced = snapshot.member(label).map(|m| m.boot);
+        if label == self.label {
+            return match announced == Some(self.boot) {
+                true => Liveness::Confirmed,
+                false => Liveness::Settling,
+            };
+        }
+        self.observations.liveness(label, announced, now)
+    }
+
+    /// All configured controllers, as they are observed.
+    pub fn controllers(&self, snapshot: &Snapshot, now: u64) -> Vec<Controller> {
+        let controller = |label: &String| Controller {
+            label: label.clone(),
+            liveness: self.liveness(label, snapshot, now),
+        };
+        self.labels.iter().map(controller).collect()
+    }
+
+    /// What speaks against going on.
+    ///
+    /// `before` is what was read before `snapshot`.
+    pub fn trouble(
+        &self,
+        before: Option<&Snapshot>,
+        snapshot: &Snapshot,
+        now: u64,
+    ) -> Option<PauseReason> {
+        let controllers = &self.controllers(snapshot, now);
+        let level = snapshot.level.record()?;
+        if level.target <= level.active && level.phase != Phase::Soaking {
+            return None;
+        }
+        let stranger = self.stranger_seen.as_ref();
+        if let Some(stranger) = stranger.filter(|s| now < s.at + CALM_MS) {
+            let label = stranger.value.clone();
+            return Some(PauseReason::Unknown { label });
+        }
+        if let Some(label) = self.observations.restarting(now) {
+            let label = label.to_string();
+            return Some(PauseReason::Restarting { label });
+        }
+        if let Some(pause @ PauseReason::Regressed { .. }) = &level.pause {
+            let supports = |c: &Controller| {
+                let member = snapshot.member(&c.label);
+                member.is_some_and(|m| m.newest >= level.target)
+                    && c.liveness == Liveness::Confirmed
+            };
+            let returned = controllers.iter().all(supports);
+            if !returned || !self.observations.is_calm(now) {
+                return Some(pause.clone());
+            }
+        }
+        self.stall(before, snapshot, controllers, now)
+    }
+
+    /// An upgrade in which nothing has moved for too long.
+    fn stall(
+        &self,
+        before: Option<&Snapshot>,
+        snapshot: &Snapshot,
+        controllers: &[Controller],
+        now: u64,
+    ) -> Option<PauseReason> {
+        let level = snapshot.level.record()?;
+        let stalls = matches!(level.phase, Phase::Mixed | Phase::Ready);
+        // The pause itself is no progress.
+        let was_stalled = matches!(level.pause, Some(PauseReason::Stalled { .. }));
+        let for_long = self.progress.is_some_and(|p| {
+            let waits_ms = self.policy.stall_ms;
+            now >= p.at + waits_ms || (was_stalled && !has_announced(before, snapshot))
+        });
+        if !stalls || !for_long {
+            return None;
+        }
+        let target = level.target;
+        let lacks = |c: &&Controller| {
+            let member = snapshot.member(&c.label);
+            member.is_none_or(|m| m.newest < target) || c.liveness != Liveness::Confirmed
+        };
+        let label = controllers.iter().find(lacks).map(|c| c.label.clone());
+        Some(PauseReason::Stalled {
+            label: label.unwrap_or_else(|| self.label.clone()),
+        })
+    }
+}
+
+/// Whether a controller has announced itself since what was read before.
+fn has_announced(before: Option<&Snapshot>, snapshot: &Snapshot) -> bool {
+    let before = before.and_then(|s| s.level.record());
+    let (Some(before), Some(level)) = (before, snapshot.level.record()) else {
+        return false;
+    };
+    level.announcements > before.announcements
+}
