Test: a build whose range lies above what is active does not take part

Need: of the bad input of staged upgrades a range that excludes the active level had no scenario. Change: one, with a controller that can't run level 0 any more in a cluster that runs it. Result: it passes: not ready, nothing announced, the level untouched, jobs run.

--- a/crates/control/tests/staged_upgrades.rs
+++ b/crates/control/tests/staged_upgrades.rs
@@ -456,6 +456,24 @@
     load.has_one_outcome_each(&mut w);
 }
 
+#[test]
+fn a_build_whose_range_lies_above_what_is_active_does_not_take_part() {
+    let mut w = cluster_of(&held(0));
+    let mut too_new = held(2);
+    if let Some(rollout) = &mut too_new.rollout {
+        rollout.oldest_level = 1;
+    }
+    let (member, version) = (w.state.version(&member_key("n1")), w.state.version(LEVEL));
+    replace(&mut w, 1, &too_new);
+    w.run(8_000);
+    assert_eq!(w.ask(1, "GET", "/ready", vec![]).0, 503);
+    assert_eq!(w.state.version(&member_key("n1")), member);
+    assert_eq!(w.state.version(LEVEL), version);
+    let mut load = Load::default();
+    load.add(&mut w, false);
+    load.has_one_outcome_each(&mut w);
+}
+
 #[test]
 fn a_controller_paused_in_one_phase_and_waking_in_the_next_does_no_harm() {
     for (wakes_final, who_leads) in [(false, true), (false, false), (true, true), (true, false)] {
