--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -422,3 +422,81 @@
 pub const SLOW_TURN_MS: u64 = 150;
 /// Milliseconds a turn of the main loop sleeps at most.
 pub const LOOP_MAX_MS: u64 = 1_000;
+
+/// Milliseconds for which an owner may answer for its partitions without asking the leader again: some requests of it.
+pub const GRANT_MS: u64 = 4_000;
+/// Milliseconds between an owner's requests.
+pub const GRANT_RENEW_MS: u64 = 1_000;
+/// Milliseconds for which an owner whose grant has ended passes reports on, so that a change of leader does not move every
+/// worker: an election, and the first grant of the next leader.
+pub const OWNER_RELAY_MS: u64 = 4_000;
+/// Reports passed on that an owner remembers for the permits that may follow: two for each of 4,000 machines. The excess
+/// costs a further report passed on.
+pub const PASSED_ON_MAX: usize = 8_192;
+/// Permits that an owner gives up in a request; the next request goes on.
+pub const RELINQUISHED_A_REQUEST: usize = 500;
+/// Half reports that a steady machine may miss until its owner calls it silent: as the leader counts it.
+pub const SILENT_HALF_REPORTS: u64 = 5;
+/// Milliseconds added to that, for reports on their way.
+pub const SILENT_EXTRA_MS: u64 = 500;
+/// Reports of a steady machine of which one at least is passed on, so that the leader sees each machine now and then.
+pub const STEADY_REPORTS: u64 = 8;
+/// Milliseconds for which answers of owners are remembered: many times any lease.
+pub const ANSWERS_KEPT_MS: u64 = 600_000;
+/// Recalls that fit into a grant's frame, with names of 64 characters.
+pub const RECALLS_A_GRANT: usize = 800;
+/// Permits in a frame.
+pub const PERMITS_A_FRAME: usize = 400;
+/// Milliseconds for which permits wait for others: the reports that they are for come seconds later.
+pub const PERMITS_WAIT_MS: u64 = 100;
+/// Milliseconds after which a move of a partition that could not be committed is given up.
+pub const MOVE_TIMEOUT_MS: u64 = 10_000;
+/// Moves of partitions under way at a time.
+pub const MOVES_AT_ONCE: usize = 4;
+/// The same for partitions of an owner that is lost.
+pub const LOST_MOVES_AT_ONCE: usize = 16;
+/// Milliseconds between moves, so that their effect shows before the next.
+pub const MOVE_PAUSE_MS: u64 = 2_000;
+/// Milliseconds without a request after which an owner is lost: its grant has ended by then.
+pub const OWNER_LOST_MS: u64 = 6_000;
+/// Milliseconds for which a lost owner gets no partitions; twice as long after each time.
+pub const OWNER_PAUSE_MS: u64 = 30_000;
+/// Milliseconds up to which that grows.
+pub const OWNER_PAUSE_MAX_MS: u64 = 600_000;
+/// Weight of the leader's share: it also places, and answers whoever comes.
+pub const LEADER_WEIGHT: f64 = 0.25;
+/// Busyness in thousandths from which a controller is overloaded.
+pub const OVERLOADED_PERMILLE: u16 = 800;
+/// Difference in busyness below which controllers are near equal, and nothing moves.
+pub const UNEVEN_PERMILLE: u16 = 250;
+/// Weight that an overloaded controller loses.
+pub const WEIGHT_CUT: f64 = 0.15;
+/// Milliseconds between two such cuts: moves, and their effect.
+pub const WEIGHT_CUT_EVERY_MS: u64 = 10_000;
+/// Weight that a calm controller gets back.
+pub const WEIGHT_EASE: f64 = 0.05;
+/// Milliseconds between two such steps, and after a cut: slow, or shares would swing.
+pub const WEIGHT_EASE_EVERY_MS: u64 = 60_000;
+/// Weight that is left in any case.
+pub const WEIGHT_LEAST: f64 = 0.2;
+/// Workers a second that a leader sends to their owners: each connects anew.
+pub const REDIRECTS_A_SECOND: f64 = 50.0;
+/// Milliseconds until a worker that came back is sent to its owner again; twice as long after each time.
+pub const REDIRECT_PAUSE_MS: u64 = 30_000;
+/// Times that this doubles.
+pub const REDIRECT_DOUBLINGS: u32 = 4;
+/// Milliseconds until a controller that is neither owner nor leader names the owner to the same worker again: one that comes
+/// back sooner did not reach it.
+pub const RENAME_OWNER_MS: u64 = 30_000;
+/// Workers that it remembers for that; the excess is forgotten, and costs a redirect.
+pub const REDIRECTED_MAX: usize = 8_192;
+/// Workers in a row that came back from an owner, which heard none meanwhile, from which it counts as unreachable.
+pub const REDIRECTS_FAILED: u32 = 8;
+/// Milliseconds that a grant must run on for workers to be sent to its owner.
+pub const REDIRECT_GRANT_MS: u64 = 1_000;
+/// Part of a lease (one in that many) after an answer in which a worker may be sent elsewhere.
+pub const REDIRECT_LEASE_PART: u64 = 3;
+/// Milliseconds between tries to read or write the ownership table.
+pub const TABLE_RETRY_MS: u64 = 500;
+/// Milliseconds between log lines about partitions.
+pub const PARTITIONS_LOG_MS: u64 = 60_000;
--- a/crates/control/src/forwarding.rs
+++ b/crates/control/src/forwarding.rs
@@ -64,6 +64,11 @@
         id >= FIRST_PEER_REQUEST
     }
 
+    /// The peer that passed a request to us, while it has not been answered.
+    pub fn peer_of(&self, id: RequestId) -> Option<&str> {
+        self.serving.get(&id).map(|call| call.peer.as_str())
+    }
+
     /// When [`ForwardedRequests::tick`] wants to be called.
     pub fn next_wake(&self, now: u64) -> Option<u64> {
         (!self.pending.is_empty()).then_some(now + DEADLINE_CHECK_MS)
@@ -95,7 +100,22 @@
 
     /// Passes a request of ours to a peer.
     pub fn forward(&mut self, request: HttpRequest, peer: String, mail: &mut Mail) {
-        if self.pending.len() >= USER_INFLIGHT {
+        self.forward_within(request, peer, USER_INFLIGHT, mail);
+    }
+
+    /// The same for a worker's report that its owner passes on: as many may be in hand as workers are connected.
+    pub fn forward_report(&mut self, request: HttpRequest, leader: String, mail: &mut Mail) {
+        self.forward_within(request, leader, usize::MAX, mail);
+    }
+
+    fn forward_within(
+        &mut self,
+        request: HttpRequest,
+        peer: String,
+        capacity: usize,
+        mail: &mut Mail,
+    ) {
+        if self.pending.len() >= capacity {
             return mail.refuse(request.id, 503, "too many requests in hand");
         }
         let timeout_ms = if request.target == REPORT_PATH {
--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -592,6 +592,8 @@
     pub return_sent: Option<u64>,
     /// Direct orders are on their way.
     pub direct_at: u64,
+    /// Something was decided for it since it was last found steady.
+    pub has_pending_orders: bool,
 }
 
 impl Machine {
@@ -632,6 +634,7 @@
             idle_since: now,
             return_sent: None,
             direct_at: 0,
+            has_pending_orders: false,
         }
     }
 
@@ -644,11 +647,29 @@
         }
     }
 
-    /// Whether the worker's lease has certainly run out, and with it every task of its session. The worker had seen
-    /// our term, so nobody else's answers have counted since, and ours ended long enough ago.
-    pub fn lease_lapsed(&self, now: u64, lapse_ms: u64) -> bool {
+    /// Whether the worker's lease has certainly run out, and with it every task of its session. The worker had seen our
+    /// term, so only answers under it have counted since: ours, and those of an owner, which may come until
+    /// `delegated_until`.
+    pub fn lease_lapsed(&self, now: u64, lapse_ms: u64, delegated_until: Option<u64>) -> bool {
         let answered_long_ago = |at: u64| now > at + lapse_ms;
-        self.token_seen && self.last_answer.is_some_and(answered_long_ago)
+        let last_answer = self.last_answer.max(delegated_until);
+        self.token_seen && last_answer.is_some_and(answered_long_ago)
+    }
+
+    /// Whether nothing speaks against an owner that goes on answering for it.
+    pub fn stays_steady(&self) -> bool {
+        !self.has_pending_orders && self.is_calm()
+    }
+
+    /// Whether it is to stay as it is, as far as the machine itself is concerned.
+    pub fn is_calm(&self) -> bool {
+        !self.stops
+            && !self.returning
+            && !self.failed
+            && self.draining.is_none()
+            && self.notice_at.is_none()
+            && self.doubted.is_none()
+            && self.strays.is_empty()
     }
 
     /// Whether a report with these numbers was written before something that is known already.
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -180,7 +180,7 @@
             let empty = m.places.is_empty() && m.strays.is_empty();
             // A leader that stood still for a minute of an outage, and still leads, would give its whole fleet back.
             let listening = self.ready_at.max(self.resumed_at);
-            let heard = m.last_report.unwrap_or(0).max(listening);
+            let heard = self.heard_at(name, m, now).unwrap_or(0).max(listening);
             let quiet = now.saturating_sub(heard);
             let why = if m.failed {
                 Some("failed")
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -6,6 +6,8 @@
 
 mod blame;
 mod books;
+mod delegation;
+pub(crate) use delegation::AnsweredReport;
 mod fleet;
 mod pages;
 mod pipelines;
@@ -217,6 +219,10 @@
     next_lazy: u64,
     /// Something happened that a held answer may have waited for.
     pub settled: bool,
+    /// Which answers of owners may be out there; nothing where partitions are off.
+    delegation: Option<::partitions::Delegation>,
+    /// A machine that an owner may be answering has something pending.
+    recalls_due: bool,
 }
 
 impl Leader {
@@ -293,6 +299,8 @@
             lazy: BTreeMap::new(),
             next_lazy: 0,
             settled: false,
+            delegation: None,
+            recalls_due: false,
         }
     }
 
@@ -712,7 +720,9 @@
                 let machine = place.machine.clone();
                 if let Some(m) = self.machines.get_mut(&machine) {
                     m.stops = true;
+                    m.has_pending_orders = true;
                 }
+                self.recalls_due = true;
             }
         }
     }
@@ -795,12 +805,14 @@
 
     /// Whether workers that report here have all fallen silent.
     pub fn hears_nobody(&self, now: u64) -> bool {
-        let known = self.machines.values().filter(|m| m.synced && !m.failed);
+        let known = self.machines.iter();
+        let known = known.filter(|(_, m)| m.synced && !m.failed);
         let silent_ms = (self.settings.deployment.workers.report_s * 2500.0) as u64;
         let (mut all, mut silent) = (0, 0);
-        for m in known {
+        for (name, m) in known {
             all += 1;
-            if m.last_report.is_none_or(|at| now > at + silent_ms) {
+            let heard_at = self.heard_at(name, m, now);
+            if heard_at.is_none_or(|at| now > at + silent_ms) {
                 silent += 1;
             }
         }
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -92,7 +92,13 @@
     }
 
     /// Whether tasks may be sent to a machine.
-    pub(super) fn usable(&self, m: &Machine, verdict: Verdict, now: u64) -> bool {
+    pub(super) fn usable(
+        &self,
+        m: &Machine,
+        heard_at: Option<u64>,
+        verdict: Verdict,
+        now: u64,
+    ) -> bool {
         let silent_ms = self.silent_ms();
         m.known
             && m.synced
@@ -102,7 +108,7 @@
             && !m.failed
             && !m.returning
             && verdict != Verdict::Faulty
-            && m.last_report.is_some_and(|at| now <= at + silent_ms)
+            && heard_at.is_some_and(|at| now <= at + silent_ms)
     }
 
     pub(super) fn picture(&self, now: Now) -> Picture {
@@ -150,7 +156,7 @@
                 free: total,
                 soon: total,
                 total,
-                usable: self.usable(m, verdict, now.mono),
+                usable: self.usable(m, self.heard_at(name, m, now.mono), verdict, now.mono),
                 slots: TASKS_PER_MACHINE.saturating_sub(m.places.len() as u32),
                 pilots: 0,
                 slow: m.is_slow() || verdict == Verdict::Suspect,
@@ -480,6 +486,8 @@
             job.put(task, &machines[machine], attempt, pilot, now);
             if let Some(m) = self.machines.get_mut(&machines[machine]) {
                 m.places.insert((id.to_string(), task));
+                m.has_pending_orders = true;
+                self.recalls_due = true;
             }
         }
         self.mark(Dirty::Job(id.to_string()));
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -61,6 +61,7 @@
         }
         let lease_ms = self.lease_lapse_ms();
         let silent_ms = self.silent_ms();
+        let watched = self.is_watched_by_owner(&report.machine, now.mono);
         let own_lease_ms = (self.settings.deployment.workers.lease_s / DRIFT * 1000.0) as u64;
         let m = self
             .machines
@@ -105,7 +106,7 @@
         }
         (m.session, m.seq) = (report.session, report.seq);
         // Back from a cut or a hang, its room counts again.
-        if m.last_report.is_none_or(|at| now.mono > at + silent_ms) {
+        if !watched && m.last_report.is_none_or(|at| now.mono > at + silent_ms) {
             self.plan_due = true;
         }
         m.last_report = Some(now.mono);
@@ -166,7 +167,7 @@
     }
 
     /// Whether a machine has room for what its type is rented for: one GPU, or else one CPU.
-    fn has_room(&self, name: &str) -> bool {
+    pub(super) fn has_room(&self, name: &str) -> bool {
         let Some(m) = self.machines.get(name).filter(|m| m.draining.is_none()) else {
             return false;
         };
@@ -589,7 +590,9 @@
         let machine = place.machine.clone();
         if let Some(m) = self.machines.get_mut(&machine) {
             m.stops = true;
+            m.has_pending_orders = true;
         }
+        self.recalls_due = true;
         self.plan_due = true;
     }
 }
--- a/crates/control/src/leader/watch.rs
+++ b/crates/control/src/leader/watch.rs
@@ -12,8 +12,10 @@
         let now = mail.now;
         let lapse_ms = self.lease_lapse_ms();
         let mut free: Vec<(String, &'static str)> = Vec::new();
+        let delegation = self.delegation.as_ref();
         for (name, m) in &mut self.machines {
-            let lapsed = m.lease_lapsed(now.mono, lapse_ms);
+            let delegated_until = delegation.and_then(|d| d.answers_until(name));
+            let lapsed = m.lease_lapsed(now.mono, lapse_ms, delegated_until);
             if lapsed {
                 m.ended_session = m.session;
             }
@@ -55,6 +57,8 @@
         }
         if let Some(m) = self.machines.get_mut(name) {
             m.places.clear();
+            m.has_pending_orders = true;
+            self.recalls_due = true;
         }
     }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,6 +15,7 @@
 mod machine_types;
 pub mod mail;
 mod node;
+mod partitions;
 mod peers;
 mod pending_reports;
 mod recent_map;
@@ -25,6 +26,7 @@
 pub use ::rollout::{ControllerStatus, RolloutStatus};
 pub use mail::{CallError, CallId, Input, Now, Output, RequestId, Target};
 pub use node::Node;
+pub use partitions::PartitionsStatus;
 pub use settings::{Operator, Settings};
 
 /// Microseconds of a steady clock, to measure how long a round of decisions takes.
--- a/crates/control/src/mail.rs
+++ b/crates/control/src/mail.rs
@@ -127,6 +127,8 @@
     /// The upgrade, with the number of its request.
     Rollout(u64),
     Leader(u64, crate::leader::Ask),
+    /// The ownership table, with the term and the number of the request.
+    Partitions(u64, u64),
 }
 
 /// Who asked the cloud.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,19 +1,22 @@
 //! One controller: routes what comes in to its actors, and what they say to each other.
 
+mod partition_view;
 mod planned_stop;
 mod standstill;
+mod worker_reports;
 
 use crate::cloud::CloudClient;
 use crate::election::{Election, ElectionRules};
 use crate::forwarding::{ForwardedRequests, HttpRequest, REPORT_PATH};
 use crate::gateway::Gateway;
 use crate::heartbeat::{process_base, Heartbeat};
-use crate::leader::{direct_call, Heard, Leader};
+use crate::leader::{direct_call, Leader};
 use crate::leadership_watch::{LeaderProbe, LeadershipWatch};
 use crate::machine_types::MachineTypesReader;
 use crate::mail::*;
+use crate::partitions::Partitions;
 use crate::peers::{PeerState, Peers};
-use crate::pending_reports::{HeldAnswers, LeaderStatus, PendingReports};
+use crate::pending_reports::{HeldAnswers, PendingReports};
 use crate::rollout::Rollout;
 use crate::settings::{Operator, Settings};
 use crate::state::{StateClient, StateReply};
@@ -22,7 +25,6 @@
 use std::collections::VecDeque;
 use wire::peers::PeerMessage;
 use wire::records::Final;
-use wire::workers::{Elsewhere, Report};
 
 /// One controller.
 pub struct Node {
@@ -34,6 +36,8 @@
     election: Election,
     gateway: Gateway,
     rollout: Rollout,
+    /// Nothing where partitions are not switched on.
+    partitions: Option<Partitions>,
     planned_stop: Option<planned_stop::PlannedStop>,
     leader: Option<Leader>,
     pending_reports: PendingReports,
@@ -68,6 +72,7 @@
             election: Election::new(&settings.label, boot),
             gateway: Gateway::new(d.teams.clone(), &d.state),
             rollout: Rollout::new(&settings, operator.rollout.as_ref(), boot, now.mono),
+            partitions: partition_view::partitions(&settings, &operator, boot, now.mono),
             planned_stop: None,
             leader: None,
             pending_reports: PendingReports::new(d.quota.max_connections),
@@ -100,6 +105,9 @@
     /// Tells whether callers' sockets are short. An answer that is held keeps its worker's socket from another worker.
     pub fn set_crowded(&mut self, is_crowded: bool) {
         self.is_crowded = is_crowded;
+        if let Some(partitions) = &mut self.partitions {
+            partitions.load().set_crowded(is_crowded);
+        }
     }
 
     /// Term, if this node leads.
@@ -120,6 +128,7 @@
             (!self.gateway.is_idle()).then_some(now + GATEWAY_WAKE_MS),
             Some(self.gateway.next_wake()),
             Some(self.rollout.next_wake()),
+            self.partitions.as_ref().map(Partitions::next_wake),
             self.stop_wake(),
             self.forwarded.next_wake(now),
             self.pending_reports.next_wake(leader_is_ready, now),
@@ -134,6 +143,31 @@
 
     /// Something happened.
     pub fn handle(&mut self, now: Now, input: Input) {
+        let started = self.turn_begins();
+        self.on_input(now, input);
+        self.turn_ends(started);
+    }
+
+    /// Time passed.
+    pub fn tick(&mut self, now: Now) {
+        let started = self.turn_begins();
+        self.on_tick(now);
+        self.turn_ends(started);
+    }
+
+    /// Begins to measure a turn, where that is of use.
+    fn turn_begins(&self) -> Option<u64> {
+        self.partitions.as_ref().map(|_| (self.stopwatch)())
+    }
+
+    fn turn_ends(&mut self, started: Option<u64>) {
+        if let (Some(partitions), Some(started)) = (&mut self.partitions, started) {
+            let took_us = (self.stopwatch)().saturating_sub(started);
+            partitions.load().add_turn(took_us);
+        }
+    }
+
+    fn on_input(&mut self, now: Now, input: Input) {
         let mut mail = Mail::new(now);
         self.note_time(now, &mut mail);
         match input {
@@ -159,8 +193,7 @@
         self.deliver(mail);
     }
 
-    /// Time passed.
-    pub fn tick(&mut self, now: Now) {
+    fn on_tick(&mut self, now: Now) {
         self.last_tick = now.mono;
         let mut mail = Mail::new(now);
         self.note_time(now, &mut mail);
@@ -178,6 +211,7 @@
         if let Some(leader) = &mut self.leader {
             leader.tick(active, &mut mail);
         }
+        self.tick_partitions(&mut mail);
         self.watch_leadership(&mut mail);
         let types_known = self.gateway.knows_types();
         self.machine_types.tick(types_known, &mut mail);
@@ -302,110 +336,6 @@
         self.rollout.is_admitted() && self.planned_stop.is_none()
     }
 
-    fn on_report(&mut self, id: RequestId, body: &[u8], mail: &mut Mail) {
-        let now = mail.now.mono;
-        if !ForwardedRequests::is_from_peer(id) {
-            self.heartbeat.on_worker_report(now);
-        }
-        let report: Report = match wire::decode(body) {
-            Ok(report) => report,
-            Err(why) => return mail.refuse(id, 400, &why.to_string()),
-        };
-        let status = self.leader_status(now);
-        // While the leader is loading, an answer would renew the leases of tasks that may be cancelled, for all it knows.
-        let waits = matches!(status, LeaderStatus::Unknown | LeaderStatus::Loading);
-        if waits && self.pending_reports.has_room() {
-            return self.pending_reports.push(id, body, now);
-        }
-        match status {
-            LeaderStatus::Ready | LeaderStatus::Loading => self.report_to_leader(id, report, mail),
-            LeaderStatus::Elsewhere | LeaderStatus::Unknown => self.pass_report_on(id, body, mail),
-        }
-    }
-
-    fn leader_status(&self, now: u64) -> LeaderStatus {
-        match &self.leader {
-            Some(leader) if leader.is_ready() => LeaderStatus::Ready,
-            Some(_) => LeaderStatus::Loading,
-            None if self.election.leader_label(now).is_some() => LeaderStatus::Elsewhere,
-            None => LeaderStatus::Unknown,
-        }
-    }
-
-    fn report_to_leader(&mut self, id: RequestId, report: Report, mail: &mut Mail) {
-        let now = mail.now;
-        if !self.may_answer(now.mono) {
-            return mail.refuse(id, 503, "not entitled to answer workers");
-        }
-        let active = self.active(now.mono);
-        let Some(leader) = &mut self.leader else {
-            return;
-        };
-        match leader.on_report(report, active, now) {
-            Heard::Answer(answer) => mail.respond(id, 200, wire::encode(&answer)),
-            Heard::Hold(mut held) => {
-                if self.is_crowded {
-                    held.do_not_idle();
-                }
-                self.held_answers.push(id, held);
-            }
-            Heard::Newer(term) => {
-                self.election.heard_term(term, mail);
-                mail.refuse(id, 503, "a newer leader exists");
-            }
-        }
-    }
-
-    /// Sends a worker to the leader, or passes its report on to a leader that lives but that no worker reaches: sent to
-    /// it, the worker would lose another 4 s, and its lease before long.
-    fn pass_report_on(&mut self, id: RequestId, body: &[u8], mail: &mut Mail) {
-        let now = mail.now.mono;
-        let deaf_ms = (self.settings.deployment.workers.report_s * 1500.0) as u64 + PEER_BEAT_MS;
-        let leader = self.election.leader_label(now).map(str::to_string);
-        let settled = now > self.election.known_since() + 2 * REPORT_DROP_MS;
-        let deaf = leader.filter(|l| settled && self.peers.is_deaf(l, deaf_ms, now));
-        // Now and then one worker is sent there all the same, to find out whether it is reached again.
-        let probe = deaf.is_some() && self.leader_probe.take_due(now);
-        let forward_to = deaf.filter(|_| !probe && !ForwardedRequests::is_from_peer(id));
-        if let Some(leader) = forward_to {
-            let report = HttpRequest {
-                id,
-                method: "POST",
-                target: REPORT_PATH,
-                body,
-            };
-            return self.forwarded.forward(report, leader, mail);
-        }
-        self.send_elsewhere(id, mail);
-    }
-
-    fn send_elsewhere(&self, id: RequestId, mail: &mut Mail) {
-        let leader = self
-            .election
-            .leader_label(mail.now.mono)
-            .filter(|l| *l != self.settings.label)
-            .map(str::to_string);
-        mail.respond(id, 421, wire::encode(&Elsewhere { leader }));
-    }
-
-    /// Goes on with reports that came while no leader was known, or before this one had read its records.
-    fn handle_pending_reports(&mut self, mail: &mut Mail) {
-        if self.pending_reports.is_empty() {
-            return;
-        }
-        let now = mail.now.mono;
-        let status = self.leader_status(now);
-        if status == LeaderStatus::Ready {
-            for report in self.pending_reports.take_batch() {
-                self.on_report(report.id, &report.body, mail);
-            }
-            return;
-        }
-        for id in self.pending_reports.take_redirected(status, now) {
-            self.send_elsewhere(id, mail);
-        }
-    }
-
     fn on_reply(
         &mut self,
         call: CallId,
@@ -430,6 +360,11 @@
             StateTag::Proof(number) => self.gateway.on_proof(number, reply, mail),
             StateTag::Unheard(number) => self.gateway.on_unheard(number, reply, mail),
             StateTag::Rollout(request) => self.rollout.on_reply(request, reply, mail),
+            StateTag::Partitions(term, number) => {
+                if let Some(partitions) = &mut self.partitions {
+                    partitions.on_state_reply(term, number, reply, mail.now.mono);
+                }
+            }
             StateTag::Types => self.machine_types.on_reply(reply, mail),
             StateTag::Leader(term, ask) => {
                 if let Some(leader) = self.leader.as_mut().filter(|l| l.term == term) {
@@ -502,6 +437,7 @@
                 self.forwarded.on_answer(from, call, status, body, mail);
             }
             PeerMessage::Handover { term } => self.election.on_handover(from, term, mail),
+            PeerMessage::Partitions(message) => self.on_partition_message(from, message, mail),
         }
     }
 
@@ -583,10 +519,16 @@
                 }
                 leader.tick(false, mail);
                 self.leader = Some(leader);
+                if let Some(partitions) = &mut self.partitions {
+                    partitions.on_elected(term, version, mail.now);
+                }
             }
             News::Deposed(why) => {
                 log::info!("event=deposed why={why:?}");
                 self.leader = None;
+                if let Some(partitions) = &mut self.partitions {
+                    partitions.on_deposed();
+                }
                 self.cloud.clear();
                 self.state.drop_books();
                 self.election.fenced(mail);
--- /dev/null
+++ b/crates/control/src/node/partition_view.rs
@@ -0,0 +1,76 @@
+//! What a node tells its actor for partitions.
+
+use super::Node;
+use crate::mail::{Mail, Now};
+use crate::partitions::{Partitions, PartitionsStatus, View};
+use crate::settings::{Operator, Settings};
+use constants::{DRIFT, GRANT_MS};
+use wire::partitions::{PartitionId, PartitionMessage};
+
+impl Node {
+    /// What this controller knows of partitions, if they are switched on.
+    pub fn partitions_status(&self) -> Option<PartitionsStatus> {
+        let partitions = self.partitions.as_ref()?;
+        Some(partitions.status(self.last_now.mono))
+    }
+
+    /// Begins to move a partition to another controller, as an operator would have it; false if this node does not lead, or
+    /// the partition moves already or is there.
+    pub fn move_partition(&mut self, partition: PartitionId, to: &str, now: Now) -> bool {
+        let partitions = self.partitions.as_mut();
+        partitions.is_some_and(|partitions| partitions.begin_move(partition, to, now.mono))
+    }
+
+    /// Milliseconds for which an owner may be granted partitions now: its answers must not come later than ours may, by
+    /// what is known of cancellations at this moment.
+    pub(super) fn grant_ms(&self, now: u64) -> u64 {
+        let Some(informed_until) = self.informed_until().filter(|_| self.may_answer(now)) else {
+            return 0;
+        };
+        let answers_until = informed_until + self.settings.keepalive_ms();
+        let left_ms = answers_until.saturating_sub(now) as f64 / DRIFT;
+        GRANT_MS.min(left_ms as u64)
+    }
+
+    pub(super) fn tick_partitions(&mut self, mail: &mut Mail) {
+        let now = mail.now.mono;
+        let grant_ms = self.grant_ms(now);
+        let Some(partitions) = &mut self.partitions else {
+            return;
+        };
+        let view = View::new(&self.rollout, &self.peers, &self.election, grant_ms, now);
+        partitions.tick(&view, self.leader.as_mut(), mail);
+    }
+
+    pub(super) fn on_partition_message(
+        &mut self,
+        from: &str,
+        message: PartitionMessage,
+        mail: &mut Mail,
+    ) {
+        let now = mail.now.mono;
+        self.election.heard_term(message.term, mail);
+        let grant_ms = self.grant_ms(now);
+        let Some(partitions) = &mut self.partitions else {
+            log::info!(
+                "event=partition_message_refused from={from} why=\"partitions are off here\""
+            );
+            return;
+        };
+        let view = View::new(&self.rollout, &self.peers, &self.election, grant_ms, now);
+        partitions.on_message(from, message, &view, self.leader.as_mut(), mail);
+    }
+}
+
+/// The actor for partitions, where they are switched on.
+pub(super) fn partitions(
+    settings: &Settings,
+    operator: &Operator,
+    boot: u64,
+    now: u64,
+) -> Option<Partitions> {
+    let wanted = operator.partitions.as_ref()?;
+    // Checked when the settings were read.
+    let pins = wanted.checked(settings).unwrap_or_default();
+    Some(Partitions::new(settings, pins, boot, now))
+}
--- /dev/null
+++ b/crates/control/src/partitions/mod.rs
@@ -0,0 +1,267 @@
+//! Partitions of the fleet in one controller: as an owner it answers workers under the leader's grants, as the leader it gives
+//! them and moves partitions between controllers.
+//!
+//! The state machines are in the `partitions` crate; here they meet the state service, the peers and the leader's tables.
+
+mod leading;
+mod load;
+mod redirects;
+
+use crate::election::Election;
+use crate::leader::{AnsweredReport, Leader};
+use crate::mail::{Mail, Now, Output};
+use crate::peers::Peers;
+use crate::rollout::Rollout;
+use crate::settings::Settings;
+use crate::state::StateReply;
+use ::partitions::rebalance::Pins;
+use ::partitions::{Decision, Owner};
+use constants::PARTITIONS_LOG_MS;
+use leading::Leading;
+use load::LoadMeter;
+use wire::partitions::{PartitionBody, PartitionId, PartitionMessage};
+use wire::peers::PeerMessage;
+use wire::workers::Report;
+
+/// What a controller knows of partitions, for tests and measurements.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PartitionsStatus {
+    /// Partitions that it may answer for under a grant.
+    pub granted: usize,
+    /// Machines that it answers by itself.
+    pub steady: usize,
+    /// Owner and epoch of each partition, as it has recorded them if it leads.
+    pub table: Vec<(String, u64)>,
+    /// Moves under way, if it leads.
+    pub moving: usize,
+}
+
+/// What the rest of the node says at this moment.
+pub(crate) struct View<'a> {
+    pub rollout: &'a Rollout,
+    pub peers: &'a Peers,
+    /// Label of the leader, if one is known.
+    pub leader: Option<&'a str>,
+    /// Highest term known.
+    pub term: u64,
+    /// Milliseconds for which owners may be granted partitions: for no longer than this node may answer itself.
+    pub grant_ms: u64,
+}
+
+impl<'a> View<'a> {
+    pub fn new(
+        rollout: &'a Rollout,
+        peers: &'a Peers,
+        election: &'a Election,
+        grant_ms: u64,
+        now: u64,
+    ) -> Self {
+        View {
+            rollout,
+            peers,
+            leader: election.leader_label(now),
+            term: election.highest_term(),
+            grant_ms,
+        }
+    }
+}
+
+/// The actor.
+pub(crate) struct Partitions {
+    label: String,
+    pins: Pins,
+    owner: Owner,
+    load: LoadMeter,
+    leading: Option<Leading>,
+    /// Who granted us partitions last, and in which term.
+    granted_by: Option<(String, u64)>,
+    next_status_log: u64,
+}
+
+impl Partitions {
+    pub fn new(settings: &Settings, pins: Pins, boot: u64, now: u64) -> Self {
+        let report_ms = (settings.deployment.workers.report_s * 1000.0) as u64;
+        Partitions {
+            label: settings.label.clone(),
+            pins,
+            owner: Owner::new(boot, report_ms),
+            load: LoadMeter::new(now),
+            leading: None,
+            granted_by: None,
+            next_status_log: now + PARTITIONS_LOG_MS,
+        }
+    }
+
+    /// Measures how busy this process is.
+    pub fn load(&mut self) -> &mut LoadMeter {
+        &mut self.load
+    }
+
+    pub fn status(&self, now: u64) -> PartitionsStatus {
+        let mut status = PartitionsStatus {
+            granted: self.owner.partitions_held(now),
+            steady: self.owner.steady_machines(),
+            ..PartitionsStatus::default()
+        };
+        if let Some(leading) = &self.leading {
+            leading.describe(&mut status);
+        }
+        status
+    }
+
+    pub fn next_wake(&self) -> u64 {
+        let leading = self.leading.as_ref().map(Leading::next_wake);
+        let wake = leading.unwrap_or(self.owner.next_wake());
+        wake.min(self.next_status_log)
+    }
+
+    /// This node leads now.
+    pub fn on_elected(&mut self, term: u64, version: u64, now: Now) {
+        self.owner.on_term(term, now.mono);
+        let (label, pins) = (self.label.clone(), self.pins.clone());
+        self.leading = Some(Leading::new(label, pins, term, version, now.mono));
+    }
+
+    /// This node leads no longer.
+    pub fn on_deposed(&mut self) {
+        self.leading = None;
+    }
+
+    /// Begins to move a partition, if this node leads.
+    pub fn begin_move(&mut self, partition: PartitionId, to: &str, now: u64) -> bool {
+        let leading = self.leading.as_mut();
+        leading.is_some_and(|leading| leading.begin_move(partition, to, now))
+    }
+
+    /// The leader of a term, if it has granted us partitions: known also without the state service.
+    pub fn granting_leader(&self, term: u64) -> Option<&str> {
+        let granted_by = self.granted_by.as_ref();
+        let current = granted_by.filter(|(_, granted_in)| *granted_in == term);
+        current.map(|(label, _)| label.as_str())
+    }
+
+    /// What to do with a worker's report at a node that does not lead.
+    pub fn decide(&mut self, report: &Report, term: u64, now: u64) -> Decision {
+        self.owner.on_term(term, now);
+        self.owner.decide(report, now)
+    }
+
+    /// The owner that a worker is to report to instead of this leader, if it is to.
+    pub fn redirect(&mut self, report: &Report, leader: &Leader, now: u64) -> Option<String> {
+        self.leading.as_mut()?.redirect(report, leader, now)
+    }
+
+    /// The leader answered a report that a peer passed on, without orders: the machine may be steady.
+    pub fn on_answered(
+        &mut self,
+        peer: &str,
+        report: &AnsweredReport,
+        leader: &mut Leader,
+        now: u64,
+    ) {
+        if let Some(leading) = &mut self.leading {
+            leading.on_answered(peer, report, leader, now);
+        }
+    }
+
+    pub fn on_state_reply(&mut self, term: u64, number: u64, reply: StateReply, now: u64) {
+        let leading = self.leading.as_mut();
+        if let Some(leading) = leading.filter(|leading| leading.term() == term) {
+            leading.on_state_reply(number, reply, now);
+        }
+    }
+
+    pub fn tick(&mut self, view: &View, leader: Option<&mut Leader>, mail: &mut Mail) {
+        let now = mail.now.mono;
+        self.owner.on_term(view.term, now);
+        match (&mut self.leading, leader) {
+            (Some(leading), Some(leader)) => {
+                leading.tick(view, self.load.measure(now), leader, mail);
+            }
+            _ => self.ask_for_grant(view, mail),
+        }
+        self.log_status(now);
+    }
+
+    /// Asks the leader for this node's partitions, if that is due and it knows of partitions.
+    fn ask_for_grant(&mut self, view: &View, mail: &mut Mail) {
+        let now = mail.now.mono;
+        let load = self.load.measure(now);
+        let Some(request) = self.owner.request(load, now) else {
+            return;
+        };
+        let leader = view.leader.or(self.granting_leader(view.term));
+        let leader = leader.filter(|leader| *leader != self.label);
+        let knows = |leader: &&str| view.rollout.peer_has_partitions(leader, now);
+        let Some(leader) = leader
+            .filter(|_| view.rollout.has_partitions())
+            .filter(knows)
+        else {
+            return;
+        };
+        let body = PartitionBody::Request(request);
+        send(leader, view.term, body, mail);
+    }
+
+    /// A peer says something about partitions.
+    pub fn on_message(
+        &mut self,
+        from: &str,
+        message: PartitionMessage,
+        view: &View,
+        leader: Option<&mut Leader>,
+        mail: &mut Mail,
+    ) {
+        let now = mail.now.mono;
+        let PartitionMessage { term, body } = message;
+        match body {
+            PartitionBody::Request(request) => {
+                let (Some(leading), Some(leader)) = (&mut self.leading, leader) else {
+                    log::debug!("event=grant_request_refused from={from} why=\"does not lead\"");
+                    return;
+                };
+                leading.on_request(from, term, &request, view, leader, mail);
+            }
+            PartitionBody::Grant(grant) => {
+                let number = grant.number;
+                if self.owner.on_grant(term, grant, now) {
+                    self.granted_by = Some((from.to_string(), term));
+                } else {
+                    log::info!(
+                        "event=grant_refused from={from} term={term} number={number} \
+                         why=\"of another term or process, or not the newest\""
+                    );
+                }
+            }
+            PartitionBody::Permits { boot, permits } => {
+                self.owner.on_permits(term, boot, permits, now);
+            }
+            PartitionBody::Recall { boot, permits } => {
+                self.owner.on_recall(term, boot, &permits);
+            }
+        }
+    }
+
+    fn log_status(&mut self, now: u64) {
+        if now < self.next_status_log {
+            return;
+        }
+        self.next_status_log = now + PARTITIONS_LOG_MS;
+        log::info!(
+            "event=partitions_status granted={} steady={} {}",
+            self.owner.partitions_held(now),
+            self.owner.steady_machines(),
+            self.leading
+                .as_ref()
+                .map_or_else(String::new, Leading::summary)
+        );
+    }
+}
+
+/// Sends a message about partitions to a peer.
+fn send(to: &str, term: u64, body: PartitionBody, mail: &mut Mail) {
+    mail.out.push(Output::Peer {
+        to: Some(to.to_string()),
+        message: PeerMessage::Partitions(PartitionMessage { term, body }),
+    });
+}
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -79,6 +79,12 @@
         }
     }
 
+    /// The process of a peer, if its heartbeats are recent.
+    pub fn process_of(&self, label: &str, now: u64) -> Option<u64> {
+        let mut fresh = self.fresh(now);
+        fresh.find(|(l, _)| *l == label).map(|(_, peer)| peer.boot)
+    }
+
     /// Labels, with the clock of each one's last beat.
     pub fn echoes(&self) -> impl Iterator<Item = (&String, u64)> {
         self.known.iter().map(|(l, p)| (l, p.sent))
--- a/crates/control/src/rollout.rs
+++ b/crates/control/src/rollout.rs
@@ -85,6 +85,17 @@
         self.gates().is_open(Feature::SmallValues)
     }
 
+    /// Whether owners of partitions may answer workers.
+    pub fn has_partitions(&self) -> bool {
+        self.gates().is_open(Feature::Partitions)
+    }
+
+    /// Whether a peer's process has announced that it knows partitions.
+    pub fn peer_has_partitions(&self, label: &str, now: u64) -> bool {
+        let levels = self.levels();
+        levels.is_some_and(|machine| machine.peer_has(label, Feature::Partitions, now))
+    }
+
     /// Whether this process may serve users, write and stand for election.
     pub fn is_admitted(&self) -> bool {
         self.levels().is_none_or(RolloutMachine::is_admitted)
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,5 +1,7 @@
 //! Settings: the platform's file and the operators' own.
 
+use partitions::rebalance::Pins;
+use partitions::PARTITION_COUNT;
 use serde::{Deserialize, Serialize};
 
 /// The platform's settings file. Unknown fields are ignored.
@@ -325,6 +327,75 @@
     /// Staged upgrades; without it they are off.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub rollout: Option<RolloutSettings>,
+    /// Partitions of the fleet, whose owners answer workers; without it the leader answers all of them. Needs `rollout`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub partitions: Option<PartitionSettings>,
+}
+
+/// How partitions are shared out among the controllers.
+#[derive(Debug, Clone, Default, Serialize, Deserialize, schemars::JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct PartitionSettings {
+    /// What controllers are to have, whatever their load.
+    pub pins: Vec<PinSettings>,
+}
+
+/// What a controller is to have.
+#[derive(Debug, Clone, Default, Serialize, Deserialize, schemars::JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct PinSettings {
+    /// Its label.
+    pub controller: String,
+    /// Partitions that belong to it.
+    pub partitions: Vec<u16>,
+    /// Share of the partitions that are not pinned.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub share: Option<f64>,
+}
+
+impl PartitionSettings {
+    /// The pins, checked against the controllers there are; the message names the field.
+    pub fn checked(&self, settings: &Settings) -> Result<Pins, String> {
+        let siblings = settings.siblings.iter().map(|s| s.label.as_str());
+        let labels: Vec<&str> = siblings.chain([settings.label.as_str()]).collect();
+        let mut pins = Pins::default();
+        for pin in &self.pins {
+            let label = &pin.controller;
+            if !labels.contains(&label.as_str()) {
+                return Err(format!(
+                    "partitions.pins.controller: {label:?} is no controller here"
+                ));
+            }
+            for partition in &pin.partitions {
+                if *partition >= PARTITION_COUNT {
+                    return Err(format!(
+                        "partitions.pins.partitions: {partition} is not below {PARTITION_COUNT}"
+                    ));
+                }
+                let before = pins.partitions.insert(*partition, label.clone());
+                if let Some(other) = before.filter(|other| other != label) {
+                    return Err(format!(
+                        "partitions.pins.partitions: {partition} is pinned to {other:?} and {label:?}"
+                    ));
+                }
+            }
+            if let Some(share) = pin.share {
+                if pins.shares.insert(label.clone(), share).is_some() {
+                    return Err(format!(
+                        "partitions.pins.share: {label:?} has more than one"
+                    ));
+                }
+            }
+        }
+        let all: f64 = pins.shares.values().sum();
+        if all > 1.0 {
+            return Err(format!(
+                "partitions.pins.share: all together are {all}, more than 1"
+            ));
+        }
+        Ok(pins)
+    }
 }
 
 /// When a feature level becomes final.
@@ -387,6 +458,7 @@
             queues: constants::QUEUES,
             idle_return_s: constants::IDLE_RETURN_S,
             rollout: None,
+            partitions: None,
         }
     }
 }
@@ -394,6 +466,14 @@
 impl Operator {
     /// Checks what no schema says; the message names the field.
     pub fn validate(&self, settings: &Settings) -> Result<(), String> {
+        if let Some(partitions) = &self.partitions {
+            if self.rollout.is_none() {
+                return Err(
+                    "partitions: needs rollout, by which controllers know who has them".into(),
+                );
+            }
+            partitions.checked(settings)?;
+        }
         let Some(rollout) = &self.rollout else {
             return Ok(());
         };
--- a/crates/control/tests/staged_upgrades.rs
+++ b/crates/control/tests/staged_upgrades.rs
@@ -328,8 +328,8 @@
 fn a_process_may_end_at_every_write_of_the_level() {
     let play = |crash: Option<(u64, bool)>| -> (World, u64) {
         let mut w = cluster_of(&held(0));
-        let before = w.level_writes;
-        w.crash_at_level_write = crash.map(|(number, executed)| (before + number, executed));
+        let before = w.counted_writes;
+        w.crash_at_counted_write = crash.map(|(number, executed)| (before + number, executed));
         let mut load = Load::default();
         load.add(&mut w, false);
         let turn = |w: &mut World, node: usize, operator: &Operator| {
@@ -365,7 +365,7 @@
         assert_eq!(finalized(&w), 2, "{crash:?} {:?}", level(&w));
         load.add(&mut w, true);
         load.has_one_outcome_each(&mut w);
-        let writes = w.level_writes - before;
+        let writes = w.counted_writes - before;
         (w, writes)
     };
     let (_, writes) = play(None);
@@ -373,7 +373,7 @@
     for number in 1..=writes {
         for executed in [false, true] {
             let (w, _) = play(Some((number, executed)));
-            assert_eq!(w.crash_at_level_write, None, "{number} has come");
+            assert_eq!(w.crash_at_counted_write, None, "{number} has come");
         }
     }
 }
--- a/crates/fakes/examples/fleet_size.rs
+++ b/crates/fakes/examples/fleet_size.rs
@@ -135,13 +135,14 @@
     }
     world.run(20_000);
     ROUNDS_US.lock().expect("rounds").clear();
-    world.turns_us = Some(Vec::new());
+    world.turns = Some(Vec::new());
     world.run(MEASURED_MS / 2);
     let leader = world.leader().expect("a leader");
     world.crash(leader);
     world.start(leader);
     world.run(MEASURED_MS / 2);
-    let turns = world.turns_us.take().unwrap_or_default();
+    let turns = world.turns.take().unwrap_or_default();
+    let turns: Vec<u64> = turns.iter().map(|turn| turn.took_us).collect();
     let rounds = ROUNDS_US.lock().expect("rounds").clone();
     Times {
         turns: histogram(&turns),
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -63,6 +63,15 @@
     life: u64,
 }
 
+/// A turn of a node.
+#[derive(Debug, Clone, Copy)]
+pub struct Turn {
+    /// The node.
+    pub node: usize,
+    /// Microseconds of the stopwatch that it took.
+    pub took_us: u64,
+}
+
 /// The whole world.
 pub struct World {
     /// Time in milliseconds.
@@ -119,12 +128,14 @@
     pub broken: Vec<String>,
     /// Rental requests the cloud executed.
     pub rentals: Vec<String>,
-    /// Microseconds of the stopwatch that each turn of a node took, if they are to be kept.
-    pub turns_us: Option<Vec<u64>>,
-    /// Transactions that change the cluster's feature level so far.
-    pub level_writes: u64,
+    /// What each turn of a node took, if that is to be kept.
+    pub turns: Option<Vec<Turn>>,
+    /// What the keys begin with whose writes are counted: the cluster's feature level, if nothing else is said.
+    pub counted_keys: &'static str,
+    /// Transactions that change such keys so far.
+    pub counted_writes: u64,
     /// Ends the process that sends the transaction of this number, and whether the transaction is executed.
-    pub crash_at_level_write: Option<(u64, bool)>,
+    pub crash_at_counted_write: Option<(u64, bool)>,
     /// Pages of its machine list that the cloud has served.
     pub listed_pages: u64,
     /// Milliseconds until a rented machine is up.
@@ -217,9 +228,10 @@
             cancelled: BTreeMap::new(),
             broken: Vec::new(),
             rentals: Vec::new(),
-            level_writes: 0,
-            crash_at_level_write: None,
-            turns_us: None,
+            counted_keys: LEVEL,
+            counted_writes: 0,
+            crash_at_counted_write: None,
+            turns: None,
             listed_pages: 0,
             boot_ms: 2_000..=2_000,
             troubles: Troubles::default(),
@@ -296,6 +308,21 @@
         self.nodes[i].node.as_ref()?.rollout_status()
     }
 
+    /// What a node knows of partitions of the fleet, if it runs and they are switched on.
+    pub fn partitions_status(&self, i: usize) -> Option<control::PartitionsStatus> {
+        self.nodes[i].node.as_ref()?.partitions_status()
+    }
+
+    /// Asks the leader to move a partition; false if it does not.
+    pub fn move_partition(&mut self, partition: u16, to: usize) -> bool {
+        let (now, to) = (self.clock(), self.settings[to].label.clone());
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        let node = self.nodes[leader].node.as_mut();
+        node.is_some_and(|node| node.move_partition(partition, &to, now))
+    }
+
     /// Ends a node without warning.
     pub fn crash(&mut self, i: usize) {
         self.nodes[i].node = None;
@@ -404,7 +431,7 @@
                     self.ticks += 1;
                     let started = (self.stopwatch)();
                     node.tick(now);
-                    note_turn(&mut self.turns_us, started, self.stopwatch);
+                    note_turn(&mut self.turns, i, started, self.stopwatch);
                 }
             }
             self.drain(i);
@@ -478,19 +505,25 @@
     }
 }
 
-fn note_turn(turns_us: &mut Option<Vec<u64>>, started: u64, stopwatch: control::Stopwatch) {
-    if let Some(turns) = turns_us {
-        turns.push(stopwatch().saturating_sub(started));
+fn note_turn(
+    turns: &mut Option<Vec<Turn>>,
+    node: usize,
+    started: u64,
+    stopwatch: control::Stopwatch,
+) {
+    if let Some(turns) = turns {
+        let took_us = stopwatch().saturating_sub(started);
+        turns.push(Turn { node, took_us });
     }
 }
 
-/// Whether a transaction writes the cluster's feature level.
-fn changes_level(body: &[u8]) -> bool {
+/// Whether a transaction writes a key that begins so.
+fn changes(body: &[u8], prefix: &str) -> bool {
     let Ok(txn) = wire::decode::<Txn>(body) else {
         return false;
     };
     let mut writes = txn.writes.iter();
-    writes.any(|write| matches!(write, Write::Put { key, .. } if key == LEVEL))
+    writes.any(|write| matches!(write, Write::Put { key, .. } if key.starts_with(prefix)))
 }
 
 fn limits_of(limits: &control::settings::Limits) -> FakeLimits {
--- a/crates/fakes/src/network.rs
+++ b/crates/fakes/src/network.rs
@@ -77,7 +77,8 @@
                             let life = self.nodes[j].life;
                             let (from, message) = (from.clone(), message.clone());
                             let input = Input::Peer { from, message };
-                            self.push(at, Event::ToNode(j, life, input));
+                            let late = self.draw(self.troubles.slow_frames.get(&(i, j)).copied());
+                            self.push(at + late, Event::ToNode(j, life, input));
                         }
                     }
                 }
@@ -98,7 +99,7 @@
                     if let Some(node) = &mut slot.node {
                         let started = (self.stopwatch)();
                         node.handle(now, input);
-                        note_turn(&mut self.turns_us, started, self.stopwatch);
+                        note_turn(&mut self.turns, i, started, self.stopwatch);
                     }
                 }
                 self.drain(i);
@@ -140,7 +141,8 @@
             return;
         };
         self.txns += u64::from(txn);
-        if txn && changes_level(&call.body) && self.crashes_at_level_write(i, &call) {
+        if txn && changes(&call.body, self.counted_keys) && self.crashes_at_counted_write(i, &call)
+        {
             return;
         }
         let lost = txn && self.lose_txns > 0 && self.txns.is_multiple_of(self.lose_txns);
@@ -205,12 +207,12 @@
         }
     }
 
-    /// Ends the process that sends a change of the feature level, if it is the one chosen for that.
-    pub(crate) fn crashes_at_level_write(&mut self, node: usize, call: &StateCall) -> bool {
-        self.level_writes += 1;
+    /// Ends the process that sends a change of the counted keys, if it is the one chosen for that.
+    pub(crate) fn crashes_at_counted_write(&mut self, node: usize, call: &StateCall) -> bool {
+        self.counted_writes += 1;
         let Some((_, executed)) = self
-            .crash_at_level_write
-            .take_if(|(number, _)| *number == self.level_writes)
+            .crash_at_counted_write
+            .take_if(|(number, _)| *number == self.counted_writes)
         else {
             return false;
         };
@@ -270,6 +272,7 @@
                     }
                     w.term = answer.term;
                     w.lease_from = sent;
+                    w.redirects = 0;
                     let fresh = w.execute(&answer.orders, |t| behave(jobs, t), now);
                     for (task, attempt) in fresh {
                         self.rules.started(&task, attempt, name, now);
@@ -284,6 +287,8 @@
             Some(l) => {
                 w.node = l;
                 w.report_at = now;
+                w.redirects += 1;
+                w.most_redirects = w.most_redirects.max(w.redirects);
             }
             None => {
                 w.node = (w.node + 1) % nodes;
--- a/crates/fakes/src/troubles.rs
+++ b/crates/fakes/src/troubles.rs
@@ -57,6 +57,8 @@
     pub cut_from_state: BTreeSet<usize>,
     /// Frames from one node to another are lost with their connection until then; later ones go on.
     pub lost_frames: BTreeMap<(usize, usize), u64>,
+    /// Frames from one node to another take up to so many milliseconds more, each for itself, so that they overtake others.
+    pub slow_frames: BTreeMap<(usize, usize), u64>,
     /// Share of workers' reports of which a copy arrives again, 2 s to one and a half leases later.
     pub late_reports: Option<(f64, CopyTo)>,
     /// Direct commands and answers to these machines are held until then, and delivered in order.
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -88,6 +88,10 @@
     pub started: Vec<(String, u64)>,
     /// Every task ends with `error` here as soon as it has its image.
     pub faulty: bool,
+    /// Redirects that it has followed since its last answer, and the most there were.
+    pub redirects: u32,
+    /// The most redirects that it followed until it was answered.
+    pub most_redirects: u32,
 }
 
 impl FakeWorker {
@@ -116,6 +120,8 @@
             images: BTreeSet::new(),
             started: Vec::new(),
             faulty: false,
+            redirects: 0,
+            most_redirects: 0,
         }
     }
 
--- /dev/null
+++ b/crates/partitions/src/lib.rs
@@ -0,0 +1,20 @@
+//! Shares of the fleet between controllers, without I/O.
+//!
+//! Machines are mapped to a fixed number of *partitions* ([`partition_of`]). An *ownership table* says which controller is
+//! the *owner* of each partition, and in which *epoch* ([`OwnershipTable`]). The leader gives owners *grants*, leases on
+//! answering workers' reports, and *permits* for machines that are steady ([`Delegation`]); an owner answers under both
+//! and passes everything else on ([`Owner`]). [`rebalance`] decides which partitions move, and [`Handover`] carries moves
+//! out. Why no answer of an owner can break a rule of the protocol: `docs/partitions.md`.
+
+mod delegation;
+mod handover;
+mod hash;
+mod owner;
+pub mod rebalance;
+mod table;
+
+pub use delegation::{Delegation, HeardMachine, RequestError};
+pub use handover::Handover;
+pub use hash::{partition_of, HASH, PARTITION_COUNT};
+pub use owner::{Decision, Owner};
+pub use table::{OwnershipTable, PartitionOwner, TableError};
--- a/crates/rollout/src/levels.rs
+++ b/crates/rollout/src/levels.rs
@@ -11,8 +11,10 @@
 pub const GENERATION_1: Level = 1;
 /// Planned hand-over of the lead, and what keeps older builds from leading.
 pub const HANDOVER: Level = 2;
+/// Partitions of the fleet, whose owners answer workers.
+pub const PARTITIONS: Level = 3;
 /// Newest level of this build.
-pub const NEWEST: Level = HANDOVER;
+pub const NEWEST: Level = PARTITIONS;
 
 /// Something that behaves differently from some level on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
@@ -25,6 +27,8 @@
     PlannedHandover,
     /// The record of the term is in a layout that builds without rollouts can't read.
     FencedTerm,
+    /// Owners of partitions answer workers under grants of the leader, and tell each other so in frames.
+    Partitions,
 }
 
 /// What a feature changes.
@@ -61,7 +65,7 @@
 
 /// All features. The layout of pages may change at finalization only: parts are written again from memory, so fields that
 /// a build does not know would not survive there.
-pub const FEATURES: [FeatureEntry; 4] = [
+pub const FEATURES: [FeatureEntry; 5] = [
     FeatureEntry {
         feature: Feature::SmallValues,
         level: GENERATION_1,
@@ -86,6 +90,12 @@
         changes: Changes::Records,
         gate: GateKind::AtFinalization,
     },
+    FeatureEntry {
+        feature: Feature::Partitions,
+        level: PARTITIONS,
+        changes: Changes::Frames,
+        gate: GateKind::WhileActive,
+    },
 ];
 
 impl Feature {
--- a/crates/standins/examples/upgrade_rounds.rs
+++ b/crates/standins/examples/upgrade_rounds.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 use vetchmount_standins::{Build, Controllers, Outside};
 
+/// Newest feature level of the build.
+const NEWEST_LEVEL: u32 = 3;
 const CONTROLLERS: usize = 3;
 const MACHINES: usize = 8;
 /// Between two restarts.
@@ -120,10 +122,10 @@
         through(pass, order, builds, &mut controllers, &outside, measured)?;
     }
     let until = outside.now_ms() + WITHIN_MS;
-    while outside.finalized() < 2 && outside.now_ms() < until {
+    while outside.finalized() < NEWEST_LEVEL && outside.now_ms() < until {
         std::thread::sleep(SETTLE / 10);
     }
-    let is_final = outside.finalized() == 2;
+    let is_final = outside.finalized() == NEWEST_LEVEL;
     let is_drained = outside.drain(WITHIN_MS);
     let (jobs, starts) = outside.history().counts();
     let breaches = outside.history().breaches().to_vec();
--- a/crates/vetchmount/tests/staged_upgrade_processes.rs
+++ b/crates/vetchmount/tests/staged_upgrade_processes.rs
@@ -20,6 +20,9 @@
     std::env::temp_dir().join(name)
 }
 
+/// Newest feature level of the build.
+const NEWEST_LEVEL: u32 = 3;
+
 fn operator(folder: &Path, name: &str, json: &str) -> PathBuf {
     std::fs::create_dir_all(folder).expect("a folder");
     let path = folder.join(name);
@@ -96,7 +99,9 @@
         pause(1_500);
     }
     wait(&outside, "final", |o| o.finalized() >= 1);
-    wait(&outside, "level 2", |o| o.finalized() == 2);
+    wait(&outside, "the newest level", |o| {
+        o.finalized() == NEWEST_LEVEL
+    });
     // An older build that joins is told so, and is not ready.
     controllers.stop(0).expect("an orderly stop");
     start(&mut controllers, 0, &old, &outside);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! stay in this crate: in Rust a `mandate` is a term, a `tenure` a session, a `shard` a task.
 
 pub mod cloud;
+pub mod partitions;
 pub mod peers;
 pub mod records;
 pub mod state;
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -1,5 +1,6 @@
 //! What controllers say to each other: `postcard` frames behind a length and a version.
 
+use crate::partitions::PartitionMessage;
 use constants::{MAX_FRAME_BYTES, PEER_VERSION};
 use serde::{Deserialize, Serialize};
 
@@ -91,6 +92,8 @@
         /// Its term.
         term: u64,
     },
+    /// About partitions of the fleet. Only to processes that have announced the feature.
+    Partitions(PartitionMessage),
 }
 
 /// Appends a frame to `out`.
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -3,9 +3,11 @@
 use crate::users::{Submission, ID_PREFIX};
 use serde::{Deserialize, Serialize, Serializer};
 
+mod partitions;
 mod rollout;
 mod small;
 mod unknown;
+pub use partitions::{partitions_key, PartitionRow, PartitionsRecord, PARTITIONS};
 pub use rollout::{
     member_key, LevelRecord, MemberRecord, PauseReason, Phase, LEVEL, MEMBERS, ROLLOUT,
 };
