--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -130,6 +130,8 @@
     pub rentals: Vec<String>,
     /// What each turn of a node took, if that is to be kept.
     pub turns: Option<Vec<Turn>>,
+    /// Milliseconds from each worker's report to its answer, if they are to be kept.
+    pub answer_delays_ms: Option<Vec<u64>>,
     /// What the keys begin with whose writes are counted: the cluster's feature level, if nothing else is said.
     pub counted_keys: &'static str,
     /// Transactions that change such keys so far.
@@ -228,6 +230,7 @@
             cancelled: BTreeMap::new(),
             broken: Vec::new(),
             rentals: Vec::new(),
+            answer_delays_ms: None,
             counted_keys: LEVEL,
             counted_writes: 0,
             crash_at_counted_write: None,
@@ -313,6 +316,13 @@
         self.nodes[i].node.as_ref()?.partitions_status()
     }
 
+    /// Tells a node whether its sockets are short.
+    pub fn set_crowded(&mut self, i: usize, is_crowded: bool) {
+        if let Some(node) = &mut self.nodes[i].node {
+            node.set_crowded(is_crowded);
+        }
+    }
+
     /// Asks the leader to move a partition; false if it does not.
     pub fn move_partition(&mut self, partition: u16, to: usize) -> bool {
         let (now, to) = (self.clock(), self.settings[to].label.clone());
--- a/crates/fakes/src/network.rs
+++ b/crates/fakes/src/network.rs
@@ -271,6 +271,9 @@
                         w.report_at = w.report_at.min(now + 500);
                     }
                     w.term = answer.term;
+                    if let Some(delays) = &mut self.answer_delays_ms {
+                        delays.push(now - sent);
+                    }
                     w.lease_from = sent;
                     w.redirects = 0;
                     let fresh = w.execute(&answer.orders, |t| behave(jobs, t), now);
--- /dev/null
+++ b/crates/partitions/tests/owner.rs
@@ -0,0 +1,265 @@
+//! An owner's decisions, and messages that it must not act on.
+
+use vetchmount_partitions::{partition_of, Decision, Delegation, Owner, RequestError};
+use wire::partitions::*;
+use wire::workers::{Report, TaskPhase, TaskReport};
+
+const REPORT_MS: u64 = 2_000;
+const BOOT: u64 = 5;
+const TERM: u64 = 3;
+const MACHINE: &str = "vm-000007";
+
+fn report(seq: u64) -> Report {
+    Report {
+        machine: MACHINE.into(),
+        addr: "10.0.0.1:1".into(),
+        kind: "g4".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        seq,
+        term: TERM,
+        notice_s: None,
+        tasks: vec![TaskReport {
+            task: "run-1/0".into(),
+            attempt: 1,
+            phase: TaskPhase::Running,
+            cause: None,
+            saved: None,
+        }],
+    }
+}
+
+fn partition(epoch: u64) -> PartitionEpoch {
+    let partition = partition_of(MACHINE);
+    PartitionEpoch { partition, epoch }
+}
+
+fn grant(number: u64, sent: u64) -> Grant {
+    Grant {
+        boot: BOOT,
+        request: number,
+        sent,
+        number,
+        valid_ms: 4_000,
+        last_permit: 0,
+        partitions: vec![partition(1)],
+        recalled: Vec::new(),
+        elsewhere: Vec::new(),
+    }
+}
+
+fn permit(number: u64, seq: u64) -> Permit {
+    Permit {
+        machine: MACHINE.into(),
+        partition: partition(1),
+        number,
+        session: 1,
+        seq,
+    }
+}
+
+/// An owner at moment 1,000 that has passed report 1 on and was permitted to answer.
+fn answering() -> Owner {
+    let mut owner = Owner::new(BOOT, REPORT_MS);
+    owner.on_term(TERM, 1_000);
+    assert!(owner.on_grant(TERM, grant(1, 1_000), 1_000));
+    assert_eq!(owner.decide(&report(1), 1_000), Decision::PassOn);
+    owner.on_permits(TERM, BOOT, vec![permit(1, 1)], 1_000);
+    owner
+}
+
+const ANSWER: Decision = Decision::Answer { term: TERM };
+
+#[test]
+fn it_answers_reports_that_repeat_the_last_one_and_passes_all_others_on() {
+    assert_eq!(answering().decide(&report(2), 2_000), ANSWER);
+    let changes: [&dyn Fn(&mut Report); 7] = [
+        &|r| r.session = 2,
+        &|r| r.term = TERM + 1,
+        &|r| r.notice_s = Some(20.0),
+        &|r| r.addr = "10.0.0.2:1".into(),
+        &|r| r.tasks.clear(),
+        &|r| r.tasks[0].phase = TaskPhase::Saving,
+        &|r| r.spot = true,
+    ];
+    for (number, change) in changes.iter().enumerate() {
+        let mut owner = answering();
+        let mut other = report(2);
+        change(&mut other);
+        assert_eq!(owner.decide(&other, 2_000), Decision::PassOn, "{number}");
+        // What was passed on ended the permit.
+        assert_eq!(
+            owner.decide(&report(3), 2_500),
+            Decision::PassOn,
+            "{number}"
+        );
+    }
+}
+
+#[test]
+fn late_copies_are_no_sign_of_life() {
+    let mut owner = answering();
+    assert_eq!(owner.decide(&report(3), 2_000), ANSWER);
+    assert_eq!(owner.decide(&report(2), 2_100), Decision::Outdated);
+    assert_eq!(owner.decide(&report(3), 2_100), Decision::Outdated);
+    assert_eq!(owner.decide(&report(4), 2_200), ANSWER);
+}
+
+#[test]
+fn it_stops_with_its_grant_passes_on_for_a_while_and_then_names_the_leader() {
+    let mut owner = answering();
+    assert_eq!(owner.decide(&report(2), 4_999), ANSWER);
+    assert_eq!(owner.decide(&report(3), 5_000), Decision::PassOn);
+    assert_eq!(owner.decide(&report(4), 8_999), Decision::PassOn);
+    assert_eq!(owner.decide(&report(5), 9_001), Decision::Redirect(None));
+}
+
+#[test]
+fn every_eighth_report_is_passed_on() {
+    let mut owner = answering();
+    let mut passed_on = Vec::new();
+    for seq in 2..=20 {
+        let now = 1_000 + (seq - 1) * REPORT_MS;
+        owner.on_grant(TERM, grant(seq, now), now);
+        if owner.decide(&report(seq), now) == Decision::PassOn {
+            passed_on.push(seq);
+            owner.on_permits(TERM, BOOT, vec![permit(seq, seq)], now);
+        }
+    }
+    assert_eq!(passed_on, [9, 17]);
+}
+
+#[test]
+fn messages_of_another_term_process_or_order_are_not_acted_on() {
+    let mut owner = answering();
+    let foreign = Grant {
+        boot: BOOT + 1,
+        ..grant(9, 9_000)
+    };
+    assert!(!owner.on_grant(TERM, foreign, 2_000), "another process");
+    assert!(
+        !owner.on_grant(TERM - 1, grant(9, 9_000), 2_000),
+        "an old term"
+    );
+    assert!(!owner.on_grant(TERM, grant(1, 9_000), 2_000), "a copy");
+    assert_eq!(owner.decide(&report(2), 4_999), ANSWER);
+    assert_eq!(owner.decide(&report(3), 5_000), Decision::PassOn);
+    // Permits of another process, out of order, for another report, or for a partition that is not the machine's.
+    let mut owner = answering();
+    owner.decide(&report(2), 2_000);
+    let mut changed = report(3);
+    changed.tasks.clear();
+    assert_eq!(owner.decide(&changed, 2_100), Decision::PassOn);
+    owner.on_permits(TERM, BOOT + 1, vec![permit(2, 3)], 2_100);
+    owner.on_permits(TERM - 1, BOOT, vec![permit(2, 3)], 2_100);
+    owner.on_permits(TERM, BOOT, vec![permit(1, 3)], 2_100);
+    let mut misplaced = permit(2, 3);
+    misplaced.partition.partition = (misplaced.partition.partition + 1) % 64;
+    owner.on_permits(TERM, BOOT, vec![misplaced], 2_100);
+    changed.seq = 4;
+    assert_eq!(owner.decide(&changed, 2_200), Decision::PassOn);
+    owner.on_permits(TERM, BOOT, vec![permit(3, 3)], 2_300);
+    changed.seq = 5;
+    assert_eq!(
+        owner.decide(&changed, 2_400),
+        Decision::PassOn,
+        "it followed another report"
+    );
+    // Partitions that do not exist are ignored.
+    let mut owner = answering();
+    let mut unknown = grant(2, 2_000);
+    unknown.partitions.push(PartitionEpoch {
+        partition: 64,
+        epoch: 1,
+    });
+    assert!(owner.on_grant(TERM, unknown, 2_000));
+    assert_eq!(owner.partitions_held(2_000), 1);
+}
+
+#[test]
+fn a_newer_term_ends_everything_at_once() {
+    let mut owner = answering();
+    owner.on_term(TERM + 1, 2_000);
+    assert_eq!(owner.decide(&report(2), 2_000), Decision::PassOn);
+    assert_eq!(owner.steady_machines(), 0);
+    assert!(!owner.on_grant(TERM, grant(2, 2_000), 2_000));
+}
+
+#[test]
+fn a_recall_overtakes_its_permit() {
+    let mut owner = answering();
+    let mut changed = report(2);
+    changed.tasks.clear();
+    assert_eq!(owner.decide(&changed, 2_000), Decision::PassOn);
+    let recalled = RecalledPermit {
+        machine: MACHINE.into(),
+        permit: 2,
+    };
+    owner.on_recall(TERM, BOOT, &[recalled]);
+    owner.on_permits(TERM, BOOT, vec![permit(2, 2)], 2_100);
+    changed.seq = 3;
+    assert_eq!(owner.decide(&changed, 2_200), Decision::PassOn);
+}
+
+#[test]
+fn silence_is_told_until_the_leader_has_heard_it() {
+    let mut owner = answering();
+    assert_eq!(owner.decide(&report(2), 2_000), ANSWER);
+    let load = ControllerLoad::default();
+    assert!(owner
+        .request(load, 2_500)
+        .expect("due")
+        .relinquished
+        .is_empty());
+    assert!(owner.request(load, 2_600).is_none(), "not due");
+    let request = owner.request(load, 8_000).expect("due");
+    let word = Relinquished {
+        machine: MACHINE.into(),
+        permit: 1,
+        answered_ago_ms: Some(6_000),
+        heard_ago_ms: 6_000,
+    };
+    assert_eq!(request.relinquished, [word]);
+    // The request may be lost: it is said again, until a grant answers one that said it.
+    let again = owner.request(load, 9_000).expect("due");
+    assert_eq!(again.relinquished.len(), 1);
+    let answer = Grant {
+        request: request.request,
+        ..grant(2, 9_000)
+    };
+    assert!(owner.on_grant(TERM, answer, 9_100));
+    assert!(owner
+        .request(load, 10_000)
+        .expect("due")
+        .relinquished
+        .is_empty());
+}
+
+#[test]
+fn the_leader_refuses_requests_with_another_number_of_partitions() {
+    let mut leader = Delegation::new(REPORT_MS);
+    let mut owner = Owner::new(BOOT, REPORT_MS);
+    let mut request = owner
+        .request(ControllerLoad::default(), 1_000)
+        .expect("due");
+    request.partition_count = 32;
+    let refused = leader.on_request("n1", &request, 1_000);
+    assert_eq!(refused, Err(RequestError::PartitionCount { theirs: 32 }));
+}
+
+#[test]
+fn a_machine_that_two_controllers_report_is_permitted_to_its_owner_alone() {
+    let mut leader = Delegation::new(REPORT_MS);
+    let mut owner = Owner::new(BOOT, REPORT_MS);
+    let request = owner
+        .request(ControllerLoad::default(), 1_000)
+        .expect("due");
+    leader
+        .on_request("n1", &request, 1_000)
+        .expect("a good request");
+    leader.grant("n1", &request, &[partition(1)], 4_000, |_| true, 1_000);
+    assert!(leader.permit("n2", MACHINE, (1, 1), 1_100).is_none());
+    assert!(leader.permit("n1", MACHINE, (1, 1), 1_100).is_some());
+    assert_eq!(leader.answers_until(MACHINE), Some(1_000 + 4_008));
+}
