--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -449,6 +449,8 @@
 pub const PERMITS_A_FRAME: usize = 400;
 /// Milliseconds for which permits wait for others: the reports that they are for come seconds later.
 pub const PERMITS_WAIT_MS: u64 = 100;
+/// Milliseconds between looks at all permits: what matters for safety withdraws them at once.
+pub const PERMITS_REVIEW_MS: u64 = 5_000;
 /// Milliseconds after which a move of a partition that could not be committed is given up.
 pub const MOVE_TIMEOUT_MS: u64 = 10_000;
 /// Moves of partitions under way at a time.
@@ -464,7 +466,7 @@
 /// Milliseconds up to which that grows.
 pub const OWNER_PAUSE_MAX_MS: u64 = 600_000;
 /// Weight of the leader's share: it also places, and answers whoever comes.
-pub const LEADER_WEIGHT: f64 = 0.25;
+pub const LEADER_WEIGHT: f64 = 0.1;
 /// Busyness in thousandths from which a controller is overloaded.
 pub const OVERLOADED_PERMILLE: u16 = 800;
 /// Difference in busyness below which controllers are near equal, and nothing moves.
--- a/crates/control/src/cloud.rs
+++ b/crates/control/src/cloud.rs
@@ -1,38 +1,14 @@
 //! Client of the cloud: within its call rate, returns ahead of rentals ahead of listings.
 
-use crate::mail::{CallError, CallId, CloudTag, Mail, Output, Target};
-use crate::state::Bucket;
+use crate::mail::{CallError, CallId, Mail, Output, Target};
+use crate::requests::{CloudOp, CloudReply, CloudTag};
+use crate::token_bucket::TokenBucket;
 use constants::*;
 use std::collections::{HashMap, VecDeque};
 use wire::cloud::*;
 
-/// A request to the cloud.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) enum CloudOp {
-    Return(Vec<String>),
-    Rent(Rent),
-    List { from: String },
-    Types,
-}
-
-/// What came of it.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) enum CloudReply {
-    Returned,
-    Rented(Vec<String>),
-    NoCapacity,
-    Listed(MachineList),
-    Types(Vec<MachineType>),
-    /// Not executed; worth trying again.
-    Refused,
-    /// Not executed and never will be.
-    Invalid,
-    /// Executed or not, now or later.
-    Unknown,
-}
-
 pub(crate) struct CloudClient {
-    bucket: Bucket,
+    bucket: TokenBucket,
     queues: [VecDeque<(CloudOp, CloudTag)>; 4],
     inflight: HashMap<CallId, (CloudOp, CloudTag)>,
     paused_until: u64,
@@ -42,7 +18,7 @@
 impl CloudClient {
     pub fn new(rps: f64) -> Self {
         CloudClient {
-            bucket: Bucket::new(rps * 0.8, rps),
+            bucket: TokenBucket::new(rps * 0.8, rps),
             queues: Default::default(),
             inflight: HashMap::new(),
             paused_until: 0,
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -1,23 +1,11 @@
 //! Who leads: a key under a lease, and a term that only grows, raised in the same guarded transaction.
 
-use crate::mail::{Mail, News, StateTag};
-use crate::state::{Priority, StateOp, StateReply};
+use crate::mail::{Mail, News};
+use crate::requests::{ElectionStep, Priority, StateOp, StateReply, StateTag};
 use constants::*;
 use wire::records::{LeaderRecord, TermRecord, LEADER, TERM};
 use wire::state::{Guard, Item, Txn, Write};
 
-/// Where in the election a reply belongs. The number tells attempts (or terms) apart.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) enum Step {
-    Poll(u64),
-    Term(u64),
-    Grant(u64),
-    Run(u64),
-    /// Renewal in this term, sent at this moment.
-    Renew(u64, u64),
-    Quit,
-}
-
 /// What the node says of elections.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub(crate) struct ElectionRules {
@@ -205,7 +193,7 @@
         mail.state.push((
             Priority::Leadership,
             StateOp::Revoke(lease),
-            StateTag::Election(Step::Quit),
+            StateTag::Election(ElectionStep::Quit),
         ));
         // A successor that was named looks at once; the others leave it a moment.
         let pause_ms = match self.is_named(mail.now.mono) {
@@ -227,7 +215,7 @@
             mail.state.push((
                 Priority::Leadership,
                 StateOp::Revoke(lease),
-                StateTag::Election(Step::Quit),
+                StateTag::Election(ElectionStep::Quit),
             ));
             self.paused_until = mail.now.mono + RESIGN_PAUSE_MS;
             self.step_down(why, mail);
@@ -254,7 +242,7 @@
         self.next_at.max(self.busy_until)
     }
 
-    fn ask(&mut self, op: StateOp, step: Step, mail: &mut Mail) {
+    fn ask(&mut self, op: StateOp, step: ElectionStep, mail: &mut Mail) {
         self.busy_until = mail.now.mono + 3 * STATE_TIMEOUT_MS;
         mail.state
             .push((Priority::Leadership, op, StateTag::Election(step)));
@@ -269,7 +257,7 @@
             Role::Leader { term, lease, .. } => {
                 let (term, lease) = (*term, *lease);
                 self.next_at = now + LEADER_RENEW_MS;
-                self.ask(StateOp::Renew(lease), Step::Renew(term, now), mail);
+                self.ask(StateOp::Renew(lease), ElectionStep::Renew(term, now), mail);
                 self.busy_until = now + LEADER_RENEW_MS;
             }
             _ => {
@@ -287,7 +275,7 @@
                 };
                 self.next_at = now + pause;
                 let round = self.round;
-                self.ask(StateOp::Get(LEADER.into()), Step::Poll(round), mail);
+                self.ask(StateOp::Get(LEADER.into()), ElectionStep::Poll(round), mail);
             }
         }
     }
@@ -297,15 +285,19 @@
         self.next_at = mail.now.mono + LEADER_POLL_MS / 2 + self.rng.u64(..ELECTION_JITTER_MS);
     }
 
-    pub fn on_reply(&mut self, step: Step, reply: StateReply, mail: &mut Mail) {
+    pub fn on_reply(&mut self, step: ElectionStep, reply: StateReply, mail: &mut Mail) {
         match step {
-            Step::Quit => {}
-            Step::Renew(term, sent) => self.on_renewal(term, sent, &reply, mail),
-            Step::Poll(r) | Step::Term(r) | Step::Grant(r) | Step::Run(r) if r != self.round => {}
-            Step::Poll(_) => self.on_poll(reply, mail),
-            Step::Term(_) => self.on_term(reply, mail),
-            Step::Grant(_) => self.on_grant(reply, mail),
-            Step::Run(_) => self.on_run(reply, mail),
+            ElectionStep::Quit => {}
+            ElectionStep::Renew(term, sent) => self.on_renewal(term, sent, &reply, mail),
+            ElectionStep::Poll(r)
+            | ElectionStep::Term(r)
+            | ElectionStep::Grant(r)
+            | ElectionStep::Run(r)
+                if r != self.round => {}
+            ElectionStep::Poll(_) => self.on_poll(reply, mail),
+            ElectionStep::Term(_) => self.on_term(reply, mail),
+            ElectionStep::Grant(_) => self.on_grant(reply, mail),
+            ElectionStep::Run(_) => self.on_run(reply, mail),
         }
     }
 
@@ -395,7 +387,7 @@
             since: mail.now.mono,
         };
         let round = self.round;
-        self.ask(StateOp::Get(TERM.into()), Step::Term(round), mail);
+        self.ask(StateOp::Get(TERM.into()), ElectionStep::Term(round), mail);
     }
 
     fn on_term(&mut self, reply: StateReply, mail: &mut Mail) {
@@ -423,7 +415,7 @@
             *last_term = record;
             let round = self.round;
             let ttl_ms = LEADER_LEASE_MS;
-            self.ask(StateOp::Grant { ttl_ms }, Step::Grant(round), mail);
+            self.ask(StateOp::Grant { ttl_ms }, ElectionStep::Grant(round), mail);
         }
     }
 
@@ -478,7 +470,7 @@
         };
         *since = mail.now.mono;
         let round = self.round;
-        self.ask(StateOp::Txn(txn), Step::Run(round), mail);
+        self.ask(StateOp::Txn(txn), ElectionStep::Run(round), mail);
     }
 
     fn on_run(&mut self, reply: StateReply, mail: &mut Mail) {
--- a/crates/control/src/election/tests.rs
+++ b/crates/control/src/election/tests.rs
@@ -11,11 +11,15 @@
     let mut mail = mail(at);
     election.tick(&mut mail);
     let round = election.round;
-    election.on_reply(Step::Poll(round), StateReply::Missing, &mut mail);
-    election.on_reply(Step::Term(round), StateReply::Missing, &mut mail);
-    election.on_reply(Step::Grant(round), StateReply::Granted(1), &mut mail);
+    election.on_reply(ElectionStep::Poll(round), StateReply::Missing, &mut mail);
+    election.on_reply(ElectionStep::Term(round), StateReply::Missing, &mut mail);
+    election.on_reply(
+        ElectionStep::Grant(round),
+        StateReply::Granted(1),
+        &mut mail,
+    );
     let committed = StateReply::Committed { version: 1 };
-    election.on_reply(Step::Run(round), committed, &mut mail);
+    election.on_reply(ElectionStep::Run(round), committed, &mut mail);
     assert_eq!(election.leads(), Some(1));
     election
 }
@@ -27,7 +31,7 @@
     let mut election = elected(sent);
     let renewed = |election: &mut Election, sent: u64| {
         election.on_reply(
-            Step::Renew(1, sent),
+            ElectionStep::Renew(1, sent),
             StateReply::Renewed,
             &mut mail(resumed),
         );
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -6,10 +6,10 @@
 mod records;
 mod walk;
 
-use crate::mail::{Mail, News, RequestId, StateTag};
+use crate::mail::{Mail, News, RequestId};
 use crate::recent_map::RecentMap;
+use crate::requests::{Priority, StateOp, StateReply, StateTag};
 use crate::settings::{Limits, StateLimits, Team};
-use crate::state::{Priority, StateOp, StateReply};
 use constants::*;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
--- a/crates/control/src/leader/books.rs
+++ b/crates/control/src/leader/books.rs
@@ -2,6 +2,7 @@
 
 use sched::{RangeSet, Resources};
 use std::collections::{BTreeMap, BTreeSet};
+use wire::partitions::PartitionId;
 use wire::records::*;
 use wire::users::{Priority, Shape, Submission};
 use wire::workers::TaskPhase;
@@ -594,6 +595,17 @@
     pub direct_at: u64,
     /// Something was decided for it since it was last found steady.
     pub has_pending_orders: bool,
+    /// What its owner may answer it by.
+    pub permit: Option<OwnerPermit>,
+}
+
+/// A permit for the owner of a machine's partition, as far as it concerns the machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct OwnerPermit {
+    /// Its partition.
+    pub partition: PartitionId,
+    /// Until when the owner tells of the machine once it does not hear it.
+    pub watched_until: u64,
 }
 
 impl Machine {
@@ -635,6 +647,7 @@
             return_sent: None,
             direct_at: 0,
             has_pending_orders: false,
+            permit: None,
         }
     }
 
@@ -650,10 +663,16 @@
     /// Whether the worker's lease has certainly run out, and with it every task of its session. The worker had seen our
     /// term, so only answers under it have counted since: ours, and those of an owner, which may come until
     /// `delegated_until`.
-    pub fn lease_lapsed(&self, now: u64, lapse_ms: u64, delegated_until: Option<u64>) -> bool {
+    pub fn lease_lapsed(
+        &self,
+        now: u64,
+        lapse_ms: u64,
+        delegated_until: impl Fn() -> Option<u64>,
+    ) -> bool {
         let answered_long_ago = |at: u64| now > at + lapse_ms;
-        let last_answer = self.last_answer.max(delegated_until);
-        self.token_seen && last_answer.is_some_and(answered_long_ago)
+        self.token_seen
+            && self.last_answer.is_some_and(answered_long_ago)
+            && delegated_until().is_none_or(answered_long_ago)
     }
 
     /// Whether nothing speaks against an owner that goes on answering for it.
--- a/crates/control/src/leader/delegation.rs
+++ b/crates/control/src/leader/delegation.rs
@@ -1,7 +1,7 @@
 //! Machines whose steady reports owners of partitions answer: what the leader's tables say of them, and what owners say to
 //! the leader. Why this is safe: `docs/partitions.md`.
 
-use super::books::{Machine, Stage};
+use super::books::{Machine, OwnerPermit, Stage};
 use super::Leader;
 use constants::REDIRECT_LEASE_PART;
 use partitions::{Delegation, RequestError};
@@ -64,9 +64,16 @@
                 m.last_report = m.last_report.max(Some(word.heard_at));
             }
         }
-        let machines = &self.machines;
-        let is_steady = |name: &str| machines.get(name).is_some_and(Machine::stays_steady);
-        let grant = delegation.grant(owner, request, entitled, valid_ms, is_steady, now);
+        self.withdraw_unsettled();
+        let Some(delegation) = &mut self.delegation else {
+            return Ok(None);
+        };
+        let grant = delegation.grant(owner, request, entitled, valid_ms, now);
+        for ended in delegation.take_ended() {
+            if let Some(m) = self.machines.get_mut(&ended) {
+                m.permit = None;
+            }
+        }
         Ok(Some(grant))
     }
 
@@ -83,8 +90,13 @@
         let numbers = (report.session, report.seq);
         let delegation = self.delegation.as_mut()?;
         let permit = delegation.permit(owner, &report.machine, numbers, now)?;
+        let watched_until = now + delegation.refresh_overdue_ms();
         if let Some(m) = self.machines.get_mut(&report.machine) {
             m.has_pending_orders = false;
+            m.permit = Some(OwnerPermit {
+                partition: permit.1.partition.partition,
+                watched_until,
+            });
         }
         Some(permit)
     }
@@ -117,20 +129,38 @@
         })
     }
 
-    /// Permits to withdraw at once, by owner and process.
+    /// Something has become pending for a machine: an owner that answers it must not go on.
+    pub(super) fn unsettle(&mut self, machine: String) {
+        if self.delegation.is_none() {
+            return;
+        }
+        if let Some(m) = self.machines.get_mut(&machine) {
+            m.has_pending_orders = true;
+        }
+        self.unsettled.push(machine);
+    }
+
+    /// Withdraws the permits of machines for which something is pending by now.
+    fn withdraw_unsettled(&mut self) {
+        let unsettled = std::mem::take(&mut self.unsettled);
+        if let Some(delegation) = &mut self.delegation {
+            unsettled.iter().for_each(|name| delegation.withdraw(name));
+        }
+    }
+
+    /// Recalls to send at once, by owner and process.
     pub fn urgent_recalls(&mut self) -> BTreeMap<(String, u64), Vec<RecalledPermit>> {
-        let due = std::mem::take(&mut self.recalls_due);
-        let Some(delegation) = self.delegation.as_mut().filter(|_| due) else {
-            return BTreeMap::new();
-        };
-        let machines = &self.machines;
-        delegation.urgent_recalls(|name| machines.get(name).is_some_and(Machine::stays_steady))
+        self.withdraw_unsettled();
+        let delegation = self.delegation.as_mut();
+        delegation.map_or_else(BTreeMap::new, Delegation::urgent_recalls)
     }
 
-    /// Looks at all permits again, and forgets answers from long ago.
+    /// Looks at all permits again, for what changes without anything being decided, and forgets answers from long ago.
     pub fn review_delegation(&mut self, now: u64) {
-        self.recalls_due = true;
+        let machines = &self.machines;
+        let is_steady = |name: &str| machines.get(name).is_some_and(Machine::stays_steady);
         if let Some(delegation) = &mut self.delegation {
+            delegation.withdraw_unless(is_steady);
             delegation.prune(now);
         }
     }
@@ -158,14 +188,17 @@
     }
 
     /// Whether an owner answers a machine, and will say so when it does not hear it any more.
-    pub(super) fn is_watched_by_owner(&self, machine: &str, now: u64) -> bool {
+    pub(super) fn is_watched_by_owner(&self, m: &Machine, now: u64) -> bool {
+        let permit = m.permit.filter(|permit| now < permit.watched_until);
         let delegation = self.delegation.as_ref();
-        delegation.is_some_and(|d| d.is_watched_by_owner(machine, now))
+        let is_granted =
+            |p: OwnerPermit| delegation.is_some_and(|d| d.is_granted(p.partition, now));
+        permit.is_some_and(is_granted)
     }
 
-    /// When a machine was last heard, by its owner's silence about it if that is later.
-    pub(super) fn heard_at(&self, name: &str, m: &Machine, now: u64) -> Option<u64> {
-        match self.is_watched_by_owner(name, now) {
+    /// When a machine was last heard, by its owner's silence about it if it has not reported to us for a while.
+    pub(super) fn heard_at(&self, m: &Machine, now: u64) -> Option<u64> {
+        match self.is_watched_by_owner(m, now) {
             true => Some(now),
             false => m.last_report,
         }
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -72,7 +72,7 @@
         self.account(now);
         if now.mono >= self.next_types {
             self.next_types = now.mono + (CLOUD_TYPES_S * 1000.0) as u64;
-            self.ask_cloud(CloudOp::Types, CloudAsk::Types, mail);
+            self.ask_cloud(CloudOp::Types, CloudRequest::Types, mail);
         }
         if now.mono >= self.next_list && self.list_busy.is_none() {
             // Pages are counted by the machines known, so that a large fleet's lists leave room for other calls.
@@ -85,7 +85,7 @@
             let op = CloudOp::List {
                 from: String::new(),
             };
-            self.ask_cloud(op, CloudAsk::List { asked: now.mono }, mail);
+            self.ask_cloud(op, CloudRequest::List { asked: now.mono }, mail);
         }
         self.consolidate(mail);
         self.give_back(mail);
@@ -180,7 +180,7 @@
             let empty = m.places.is_empty() && m.strays.is_empty();
             // A leader that stood still for a minute of an outage, and still leads, would give its whole fleet back.
             let listening = self.ready_at.max(self.resumed_at);
-            let heard = self.heard_at(name, m, now).unwrap_or(0).max(listening);
+            let heard = self.heard_at(m, now).unwrap_or(0).max(listening);
             let quiet = now.saturating_sub(heard);
             let why = if m.failed {
                 Some("failed")
@@ -259,7 +259,7 @@
         }
         if !names.is_empty() {
             let op = CloudOp::Return(names.clone());
-            self.ask_cloud(op, CloudAsk::Return(names), mail);
+            self.ask_cloud(op, CloudRequest::Return(names), mail);
         }
     }
 
@@ -284,7 +284,11 @@
             spot: r.spot,
             count: r.count,
         };
-        self.ask_cloud(CloudOp::Rent(rent), CloudAsk::Rent(name.to_string()), mail);
+        self.ask_cloud(
+            CloudOp::Rent(rent),
+            CloudRequest::Rent(name.to_string()),
+            mail,
+        );
     }
 
     fn resend_rentals(&mut self, mail: &mut Mail) {
@@ -298,7 +302,7 @@
             }
         }
         for name in over {
-            self.mark(Dirty::Rental(name));
+            self.mark(RecordId::Rental(name));
         }
         for name in self.rentals.keys().cloned().collect::<Vec<_>>() {
             self.send_rental(&name, mail);
@@ -410,28 +414,28 @@
                 got_at: None,
             };
             self.rentals.insert(name.clone(), rental);
-            self.mark(Dirty::Rental(name));
+            self.mark(RecordId::Rental(name));
         }
     }
 
     pub(super) fn cloud_answered(
         &mut self,
-        ask: CloudAsk,
+        ask: CloudRequest,
         op: CloudOp,
         reply: CloudReply,
         mail: &mut Mail,
     ) {
         let now = mail.now;
         match (ask, reply) {
-            (CloudAsk::Types, CloudReply::Types(types)) => {
+            (CloudRequest::Types, CloudReply::Types(types)) => {
                 if self.types.want.as_ref() != Some(&types) {
                     mail.news.push(News::Types(types.clone()));
                     self.types.want = Some(types);
-                    self.mark(Dirty::Types);
+                    self.mark(RecordId::Types);
                     self.plan_due = true;
                 }
             }
-            (CloudAsk::Types, _) => {
+            (CloudRequest::Types, _) => {
                 let pause = if self.types.want.is_some() {
                     10_000
                 } else {
@@ -439,26 +443,26 @@
                 };
                 self.next_types = now.mono + pause;
             }
-            (CloudAsk::List { asked }, CloudReply::Listed(list)) => {
+            (CloudRequest::List { asked }, CloudReply::Listed(list)) => {
                 let last = list.machines.last().map(|m| m.id.clone());
                 for m in list.machines {
                     self.on_listed(m, now);
                 }
                 match (list.more, last) {
                     (true, Some(from)) => {
-                        self.ask_cloud(CloudOp::List { from }, CloudAsk::List { asked }, mail);
+                        self.ask_cloud(CloudOp::List { from }, CloudRequest::List { asked }, mail);
                     }
                     _ => self.list_complete(asked),
                 }
             }
-            (CloudAsk::List { .. }, _) => self.list_busy = None,
-            (CloudAsk::Rent(name), reply) => self.on_rented(&name, op, reply, now),
-            (CloudAsk::Return(names), CloudReply::Returned) => {
+            (CloudRequest::List { .. }, _) => self.list_busy = None,
+            (CloudRequest::Rent(name), reply) => self.on_rented(&name, op, reply, now),
+            (CloudRequest::Return(names), CloudReply::Returned) => {
                 for name in names {
                     self.machine_gone(&name, now);
                 }
             }
-            (CloudAsk::Return(names), reply) => {
+            (CloudRequest::Return(names), reply) => {
                 log::info!(
                     "event=return_failed machines={} reply={reply:?}",
                     names.len()
@@ -518,7 +522,7 @@
             CloudReply::NoCapacity | CloudReply::Invalid => {
                 rental.record.want = None;
                 self.no_capacity(key, now);
-                self.mark(Dirty::Rental(name.to_string()));
+                self.mark(RecordId::Rental(name.to_string()));
             }
             _ => rental.retry_at = now.mono + 2_000,
         }
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -21,11 +21,14 @@
 mod tests;
 mod watch;
 
-use crate::cloud::{CloudOp, CloudReply};
-use crate::mail::{CloudTag, Mail, News, Now, StateTag};
+use crate::mail::{Mail, News, Now};
 use crate::recent_map::RecentMap;
+use crate::requests::{
+    CloudOp, CloudReply, CloudRequest, CloudTag, LeaderRequest, Priority, RecordId, Reread,
+    StateOp, StateReply, StateTag,
+};
 use crate::settings::{Operator, Settings};
-use crate::state::{Bucket, Priority, StateOp, StateReply};
+use crate::token_bucket::TokenBucket;
 use books::*;
 use constants::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -35,54 +38,6 @@
 use wire::records::*;
 use wire::state::{Change, Item};
 
-/// Why the leader asked the state service.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) enum Ask {
-    /// A page of the records, while loading.
-    Load(&'static str),
-    /// A watch of the open jobs, sent at this moment.
-    Watch(u64),
-    /// A transaction.
-    PendingTransaction(u64),
-    /// A record whose version has become doubtful.
-    Refresh(Dirty, String),
-    /// A page of all open jobs, after the watch fell behind.
-    Resync(Reread),
-    /// How a job ended that others need.
-    Final(String),
-    /// What does not fit into an open job's own record.
-    More(String, u32),
-}
-
-/// All open jobs are being read again, page by page.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct Reread {
-    /// When the first page was asked for.
-    since: u64,
-    /// Revision of the first page: what has changed since is the next watch's to tell, since a change of a job on a page
-    /// already read is on none of the later ones.
-    revision: u64,
-}
-
-/// Why the leader asked the cloud.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) enum CloudAsk {
-    Types,
-    List { asked: u64 },
-    Rent(String),
-    Return(Vec<String>),
-}
-
-/// Something whose record is not as wanted.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Dirty {
-    Job(String),
-    Rental(String),
-    Types,
-    /// A page whose version has become doubtful.
-    Page(u32),
-}
-
 #[derive(Debug, Clone, PartialEq)]
 enum Loading {
     /// Reading the records under a prefix, from a key on.
@@ -174,12 +129,12 @@
     /// Watches that failed in a row.
     watch_fails: u32,
     // Store.
-    dirty: BTreeSet<Dirty>,
-    dirty_order: VecDeque<Dirty>,
+    dirty: BTreeSet<RecordId>,
+    dirty_order: VecDeque<RecordId>,
     pending_transactions: HashMap<u64, store::PendingTransaction>,
     next_transaction_number: u64,
     retries: Vec<(u64, u64)>,
-    refreshing: BTreeSet<Dirty>,
+    refreshing: BTreeSet<RecordId>,
     // Planning.
     plan_due: bool,
     next_round: u64,
@@ -198,7 +153,7 @@
     list_asked: u64,
     listed_once: bool,
     next_rent: u64,
-    kill_budget: Bucket,
+    kill_budget: TokenBucket,
     /// Jobs filed away in this term.
     filed: RecentMap<Final>,
     /// Jobs that peers, or this node, have said are cancelled and that these books don't have, or not yet.
@@ -215,14 +170,14 @@
     /// Number of rounds of decisions so far.
     rounds: u64,
     /// Records whose change may wait, with the time up to which.
-    lazy: BTreeMap<Dirty, u64>,
+    lazy: BTreeMap<RecordId, u64>,
     next_lazy: u64,
     /// Something happened that a held answer may have waited for.
     pub settled: bool,
     /// Which answers of owners may be out there; nothing where partitions are off.
     delegation: Option<::partitions::Delegation>,
-    /// A machine that an owner may be answering has something pending.
-    recalls_due: bool,
+    /// Machines for which something has become pending, and which an owner may be answering.
+    unsettled: Vec<String>,
 }
 
 impl Leader {
@@ -285,7 +240,7 @@
             list_asked: 0,
             listed_once: false,
             next_rent: 0,
-            kill_budget: Bucket::new(20.0, 40.0),
+            kill_budget: TokenBucket::new(20.0, 40.0),
             filed: RecentMap::new(FINAL_CACHE),
             told: RecentMap::new(FINAL_CACHE),
             invalid_until: 0,
@@ -300,7 +255,7 @@
             next_lazy: 0,
             settled: false,
             delegation: None,
-            recalls_due: false,
+            unsettled: Vec::new(),
         }
     }
 
@@ -319,12 +274,12 @@
         self.loading == Loading::Ready
     }
 
-    fn ask(&self, priority: Priority, op: StateOp, ask: Ask, mail: &mut Mail) {
+    fn ask(&self, priority: Priority, op: StateOp, ask: LeaderRequest, mail: &mut Mail) {
         mail.state
             .push((priority, op, StateTag::Leader(self.term, ask)));
     }
 
-    fn ask_cloud(&self, op: CloudOp, ask: CloudAsk, mail: &mut Mail) {
+    fn ask_cloud(&self, op: CloudOp, ask: CloudRequest, mail: &mut Mail) {
         mail.cloud.push((op, CloudTag::Leader(self.term, ask)));
     }
 
@@ -339,7 +294,7 @@
                     self.informed_until = now;
                 }
                 let op = StateOp::List { prefix, from };
-                self.ask(Priority::Leadership, op, Ask::Load(prefix), mail);
+                self.ask(Priority::Leadership, op, LeaderRequest::Load(prefix), mail);
             }
             return;
         }
@@ -350,7 +305,7 @@
                 from: self.watch_from,
             };
             // Behind the books' own writes it could wait for seconds, and cancellations with it.
-            self.ask(Priority::Leadership, op, Ask::Watch(now), mail);
+            self.ask(Priority::Leadership, op, LeaderRequest::Watch(now), mail);
         }
         self.mind_pipelines(mail);
         if now >= self.next_housekeeping {
@@ -389,15 +344,17 @@
         self.retries.iter().fold(at, |at, (t, _)| at.min(*t))
     }
 
-    pub fn on_state(&mut self, ask: Ask, reply: StateReply, mail: &mut Mail) {
+    pub fn on_state(&mut self, ask: LeaderRequest, reply: StateReply, mail: &mut Mail) {
         match ask {
-            Ask::Load(prefix) => self.on_load(prefix, reply, mail),
-            Ask::Watch(sent) => self.on_watch(sent, reply, mail),
-            Ask::PendingTransaction(number) => self.on_transaction_reply(number, reply, mail),
-            Ask::Refresh(what, key) => self.on_refresh(what, key, reply, mail),
-            Ask::Resync(reread) => self.on_resync(reread, reply, mail),
-            Ask::Final(id) => self.on_final(&id, reply, mail),
-            Ask::More(id, number) => self.on_more(id, number, reply, mail),
+            LeaderRequest::Load(prefix) => self.on_load(prefix, reply, mail),
+            LeaderRequest::Watch(sent) => self.on_watch(sent, reply, mail),
+            LeaderRequest::PendingTransaction(number) => {
+                self.on_transaction_reply(number, reply, mail)
+            }
+            LeaderRequest::Refresh(what, key) => self.on_refresh(what, key, reply, mail),
+            LeaderRequest::Resync(reread) => self.on_resync(reread, reply, mail),
+            LeaderRequest::Final(id) => self.on_final(&id, reply, mail),
+            LeaderRequest::More(id, number) => self.on_more(id, number, reply, mail),
         }
     }
 
@@ -571,7 +528,7 @@
             since: mail.now.mono,
             revision: 0,
         };
-        self.ask(Priority::Books, op, Ask::Resync(reread), mail);
+        self.ask(Priority::Books, op, LeaderRequest::Resync(reread), mail);
     }
 
     /// The watch had fallen too far behind: all open jobs are read again, page by page.
@@ -598,7 +555,7 @@
         match (page.more, last) {
             (true, Some(from)) => {
                 let op = StateOp::List { prefix: JOBS, from };
-                let ask = Ask::Resync(Reread { revision, ..reread });
+                let ask = LeaderRequest::Resync(Reread { revision, ..reread });
                 self.ask(Priority::Books, op, ask, mail);
             }
             _ => {
@@ -720,9 +677,8 @@
                 let machine = place.machine.clone();
                 if let Some(m) = self.machines.get_mut(&machine) {
                     m.stops = true;
-                    m.has_pending_orders = true;
                 }
-                self.recalls_due = true;
+                self.unsettle(machine);
             }
         }
     }
@@ -752,12 +708,12 @@
             }
         }
         self.plan_due = true;
-        self.mark_lazily(Dirty::Job(id.to_string()), now);
+        self.mark_lazily(RecordId::Job(id.to_string()), now);
     }
 
     fn mark_if_final(&mut self, id: &str) {
         if self.jobs.get(id).is_some_and(|j| j.final_due().is_some()) {
-            self.mark(Dirty::Job(id.to_string()));
+            self.mark(RecordId::Job(id.to_string()));
         }
     }
 
@@ -805,21 +761,18 @@
 
     /// Whether workers that report here have all fallen silent.
     pub fn hears_nobody(&self, now: u64) -> bool {
-        let known = self.machines.iter();
-        let known = known.filter(|(_, m)| m.synced && !m.failed);
+        let known = self.machines.values();
+        let mut known = known.filter(|m| m.synced && !m.failed).peekable();
         let silent_ms = (self.settings.deployment.workers.report_s * 2500.0) as u64;
-        let (mut all, mut silent) = (0, 0);
-        for (name, m) in known {
-            all += 1;
-            let heard_at = self.heard_at(name, m, now);
-            if heard_at.is_none_or(|at| now > at + silent_ms) {
-                silent += 1;
-            }
-        }
-        if all > 0 {
-            return silent == all;
+        if known.peek().is_none() {
+            return self.is_ready() && now > self.ready_at + 2 * silent_ms;
         }
-        self.is_ready() && now > self.ready_at + 2 * silent_ms
+        let is_silent = |m: &Machine| {
+            let heard_at = self.heard_at(m, now);
+            heard_at.is_none_or(|at| now > at + silent_ms)
+        };
+        // Asked at every turn: the first machine that is heard ends it.
+        known.all(is_silent)
     }
 
     /// Whether there are machines whose workers should report.
@@ -836,7 +789,7 @@
         known.clone().next().is_some() && known.all(unheard)
     }
 
-    pub fn on_cloud(&mut self, ask: CloudAsk, op: CloudOp, reply: CloudReply, mail: &mut Mail) {
+    pub fn on_cloud(&mut self, ask: CloudRequest, op: CloudOp, reply: CloudReply, mail: &mut Mail) {
         self.cloud_answered(ask, op, reply, mail);
         self.flush(mail);
     }
--- a/crates/control/src/leader/pages.rs
+++ b/crates/control/src/leader/pages.rs
@@ -150,7 +150,7 @@
             .filter(|(_, j)| j.chunks.values().any(Chunk::dirty));
         let dirty: Vec<String> = dirty.map(|(id, _)| id.clone()).collect();
         for id in dirty {
-            self.mark(Dirty::Job(id));
+            self.mark(RecordId::Job(id));
         }
     }
 
--- a/crates/control/src/leader/pipelines.rs
+++ b/crates/control/src/leader/pipelines.rs
@@ -154,7 +154,7 @@
             let known = self.jobs.contains_key(&id) || !self.pipes.needed_by.contains_key(&id);
             if !known && self.pipes.looking.insert(id.clone()) {
                 let op = StateOp::Get(final_key(&id));
-                self.ask(Priority::Books, op, Ask::Final(id), mail);
+                self.ask(Priority::Books, op, LeaderRequest::Final(id), mail);
             }
         }
     }
@@ -204,7 +204,12 @@
             .is_none()
         {
             let op = StateOp::Get(more_key(id, 1));
-            self.ask(Priority::Books, op, Ask::More(id.to_string(), 1), mail);
+            self.ask(
+                Priority::Books,
+                op,
+                LeaderRequest::More(id.to_string(), 1),
+                mail,
+            );
         }
     }
 
@@ -234,7 +239,7 @@
         };
         if next <= record.more {
             let op = StateOp::Get(more_key(&id, next));
-            return self.ask(Priority::Books, op, Ask::More(id, next), mail);
+            return self.ask(Priority::Books, op, LeaderRequest::More(id, next), mail);
         }
         if let Some((record, version)) = self.pipes.partial.remove(&id) {
             self.insert_job(&id, record, version, mail);
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -156,7 +156,7 @@
                 free: total,
                 soon: total,
                 total,
-                usable: self.usable(m, self.heard_at(name, m, now.mono), verdict, now.mono),
+                usable: self.usable(m, self.heard_at(m, now.mono), verdict, now.mono),
                 slots: TASKS_PER_MACHINE.saturating_sub(m.places.len() as u32),
                 pilots: 0,
                 slow: m.is_slow() || verdict == Verdict::Suspect,
@@ -486,10 +486,11 @@
             job.put(task, &machines[machine], attempt, pilot, now);
             if let Some(m) = self.machines.get_mut(&machines[machine]) {
                 m.places.insert((id.to_string(), task));
-                m.has_pending_orders = true;
-                self.recalls_due = true;
             }
         }
-        self.mark(Dirty::Job(id.to_string()));
+        for (_, machine) in tasks {
+            self.unsettle(machines[*machine].clone());
+        }
+        self.mark(RecordId::Job(id.to_string()));
     }
 }
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -61,7 +61,8 @@
         }
         let lease_ms = self.lease_lapse_ms();
         let silent_ms = self.silent_ms();
-        let watched = self.is_watched_by_owner(&report.machine, now.mono);
+        let m = self.machines.get(&report.machine);
+        let watched = m.is_some_and(|m| self.is_watched_by_owner(m, now.mono));
         let own_lease_ms = (self.settings.deployment.workers.lease_s / DRIFT * 1000.0) as u64;
         let m = self
             .machines
@@ -590,9 +591,8 @@
         let machine = place.machine.clone();
         if let Some(m) = self.machines.get_mut(&machine) {
             m.stops = true;
-            m.has_pending_orders = true;
         }
-        self.recalls_due = true;
+        self.unsettle(machine);
         self.plan_due = true;
     }
 }
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -19,12 +19,12 @@
 }
 
 impl Part {
-    fn what(&self) -> Dirty {
+    fn what(&self) -> RecordId {
         match self {
-            Part::Page(number, _) | Part::NoPage(number) => Dirty::Page(*number),
-            Part::Filed(id, _) => Dirty::Job(id.clone()),
-            Part::Rental(name, _) => Dirty::Rental(name.clone()),
-            Part::Types(_) => Dirty::Types,
+            Part::Page(number, _) | Part::NoPage(number) => RecordId::Page(*number),
+            Part::Filed(id, _) => RecordId::Job(id.clone()),
+            Part::Rental(name, _) => RecordId::Rental(name.clone()),
+            Part::Types(_) => RecordId::Types,
         }
     }
 }
@@ -68,10 +68,10 @@
 
 impl Leader {
     /// Notes that a record is not as wanted.
-    pub(super) fn mark(&mut self, what: Dirty) {
+    pub(super) fn mark(&mut self, what: RecordId) {
         self.lazy.remove(&what);
         // The end of a job that others wait for goes first.
-        let first = matches!(&what, Dirty::Job(id) if self.is_awaited_end(id));
+        let first = matches!(&what, RecordId::Job(id) if self.is_awaited_end(id));
         if self.dirty.insert(what.clone()) {
             match first {
                 true => self.dirty_order.push_front(what),
@@ -86,8 +86,8 @@
     /// Notes that a record is not as wanted, where nothing waits for it: what ended on a machine is kept by its
     /// worker until it is told to forget it, and a place that is free again is only a place not yet used. Such
     /// changes of a job are written with the next one that matters, or after a while.
-    pub(super) fn mark_lazily(&mut self, what: Dirty, now: Now) {
-        if let Dirty::Job(id) = &what {
+    pub(super) fn mark_lazily(&mut self, what: RecordId, now: Now) {
+        if let RecordId::Job(id) = &what {
             if self.jobs.get(id).is_some_and(|j| j.final_due().is_some()) {
                 return self.mark(what);
             }
@@ -108,7 +108,7 @@
             true => 0,
             false => LAZY_MOST_MS - LAZY_MS,
         };
-        let due: Vec<Dirty> = self
+        let due: Vec<RecordId> = self
             .lazy
             .iter()
             .filter(|(_, at)| **at + more_ms <= now)
@@ -119,29 +119,29 @@
         }
     }
 
-    fn is_busy(&self, what: &Dirty) -> bool {
+    fn is_busy(&self, what: &RecordId) -> bool {
         match what {
-            Dirty::Job(id) => self.jobs.get(id).is_some_and(|j| j.inflight),
-            Dirty::Rental(name) => self.rentals.get(name).is_some_and(|r| r.record.inflight),
-            Dirty::Types => self.types.inflight,
-            Dirty::Page(number) => self.pages.get(number).is_some_and(|p| p.busy),
+            RecordId::Job(id) => self.jobs.get(id).is_some_and(|j| j.inflight),
+            RecordId::Rental(name) => self.rentals.get(name).is_some_and(|r| r.record.inflight),
+            RecordId::Types => self.types.inflight,
+            RecordId::Page(number) => self.pages.get(number).is_some_and(|p| p.busy),
         }
     }
 
-    fn set_busy(&mut self, what: &Dirty, busy: bool) {
+    fn set_busy(&mut self, what: &RecordId, busy: bool) {
         match what {
-            Dirty::Job(id) => {
+            RecordId::Job(id) => {
                 if let Some(j) = self.jobs.get_mut(id) {
                     j.inflight = busy;
                 }
             }
-            Dirty::Rental(name) => {
+            RecordId::Rental(name) => {
                 if let Some(r) = self.rentals.get_mut(name) {
                     r.record.inflight = busy;
                 }
             }
-            Dirty::Types => self.types.inflight = busy,
-            Dirty::Page(number) => {
+            RecordId::Types => self.types.inflight = busy,
+            RecordId::Page(number) => {
                 if let Some(p) = self.pages.get_mut(number) {
                     p.busy = busy;
                 }
@@ -150,16 +150,16 @@
     }
 
     /// What a record of its own needs, if anything.
-    fn piece(&self, what: &Dirty) -> Option<(Part, Piece)> {
+    fn piece(&self, what: &RecordId) -> Option<(Part, Piece)> {
         match what {
-            Dirty::Job(id) => self.filing_piece(id),
-            Dirty::Rental(name) => {
+            RecordId::Job(id) => self.filing_piece(id),
+            RecordId::Rental(name) => {
                 let cell = &self.rentals.get(name)?.record;
                 let part = Part::Rental(name.clone(), cell.want.clone());
                 cell.dirty()
                     .then(|| (part, Piece::cell(rental_key(name), cell)))
             }
-            Dirty::Types => {
+            RecordId::Types => {
                 let types = self.types.want.clone()?;
                 // Those last recorded do as well: they are for nodes that start without a leader.
                 if wire::json_bytes(&types) > self.limits().value_bytes {
@@ -171,7 +171,7 @@
                 piece.bytes = TXN_BYTES / 2;
                 self.types.dirty().then_some((part, piece))
             }
-            Dirty::Page(_) => None,
+            RecordId::Page(_) => None,
         }
     }
 
@@ -193,9 +193,9 @@
     }
 
     /// Whether a job has something to record in pages.
-    fn is_for_pages(&self, what: &Dirty) -> Option<String> {
+    fn is_for_pages(&self, what: &RecordId) -> Option<String> {
         match what {
-            Dirty::Job(id) => {
+            RecordId::Job(id) => {
                 let job = self.jobs.get(id)?;
                 let pages = job.final_due().is_none() && job.chunks.values().any(Chunk::dirty);
                 pages.then(|| id.clone())
@@ -295,7 +295,7 @@
                         .push(Guard::new(key.clone(), version));
                     transaction.txn.writes.push(Write::delete(key));
                     transaction.parts.push(Part::NoPage(number));
-                    self.set_busy(&Dirty::Page(number), true);
+                    self.set_busy(&RecordId::Page(number), true);
                 }
             }
             self.next_transaction_number += 1;
@@ -312,7 +312,7 @@
         }
         let guards = 4 * self.limits().txn_ops - transaction.txn.guards.len();
         let spare = (drafts.len(), guards, TXN_BYTES);
-        let mut rides: Vec<(u64, Dirty)> =
+        let mut rides: Vec<(u64, RecordId)> =
             self.lazy.iter().map(|(w, at)| (*at, w.clone())).collect();
         rides.sort_unstable();
         for (_, what) in rides.into_iter().take(LAZY_RIDES) {
@@ -328,7 +328,12 @@
     fn send_transaction(&mut self, number: u64, mail: &mut Mail) {
         if let Some(transaction) = self.pending_transactions.get(&number) {
             let op = StateOp::Txn(transaction.txn.clone());
-            self.ask(Priority::Books, op, Ask::PendingTransaction(number), mail);
+            self.ask(
+                Priority::Books,
+                op,
+                LeaderRequest::PendingTransaction(number),
+                mail,
+            );
         }
     }
 
@@ -397,14 +402,14 @@
             "event=txn_conflict ambiguous={} failed={failed:?}",
             transaction.ambiguous
         );
-        let mut again: Vec<(Dirty, String)> = Vec::new();
+        let mut again: Vec<(RecordId, String)> = Vec::new();
         for key in failed {
             // A job that was cancelled meanwhile, most often; its places in pages must not be recorded.
             let id = key
                 .strip_prefix(JOBS)
                 .filter(|id| self.jobs.contains_key(*id));
             if let Some(id) = id {
-                again.push((Dirty::Job(id.to_string()), key.clone()));
+                again.push((RecordId::Job(id.to_string()), key.clone()));
             }
         }
         for part in transaction.parts {
@@ -419,7 +424,7 @@
                 for copy in copied {
                     let job = self.jobs.get(&copy.job);
                     if job.is_some_and(|j| j.chunks.values().any(Chunk::dirty)) {
-                        self.mark(Dirty::Job(copy.job.clone()));
+                        self.mark(RecordId::Job(copy.job.clone()));
                     }
                 }
             }
@@ -433,7 +438,7 @@
         for (what, key) in again {
             if self.refreshing.insert(what.clone()) {
                 self.set_busy(&what, true);
-                let ask = Ask::Refresh(what, key.clone());
+                let ask = LeaderRequest::Refresh(what, key.clone());
                 self.ask(Priority::Books, StateOp::Get(key), ask, mail);
             }
         }
@@ -441,7 +446,7 @@
 
     pub(super) fn on_refresh(
         &mut self,
-        what: Dirty,
+        what: RecordId,
         key: String,
         reply: StateReply,
         mail: &mut Mail,
@@ -450,13 +455,13 @@
             StateReply::Item(item) => Some(item),
             StateReply::Missing => None,
             _ => {
-                let ask = Ask::Refresh(what, key.clone());
+                let ask = LeaderRequest::Refresh(what, key.clone());
                 return self.ask(Priority::Books, StateOp::Get(key), ask, mail);
             }
         };
         let version = item.as_ref().map_or(0, |i| i.version);
         match &what {
-            Dirty::Job(id) if key == job_key(id) => {
+            RecordId::Job(id) if key == job_key(id) => {
                 match item.map(|i| i.value.deserialized::<JobRecord>()) {
                     Some(Ok(record)) => self.learn_job(id, record, version, mail),
                     Some(Err(_)) => log::error!("event=record_unreadable key={key}"),
@@ -469,27 +474,27 @@
                     }
                 }
             }
-            Dirty::Job(_) => {}
-            Dirty::Page(number) => {
+            RecordId::Job(_) => {}
+            RecordId::Page(number) => {
                 // What it holds was written by this leader: the lost answer was a yes, or it is as it was.
                 let record = item.and_then(|i| i.value.deserialized::<PageRecord>().ok());
                 let copied = copies_in(&record.unwrap_or_default());
                 self.page_holds(*number, version, &copied);
             }
-            Dirty::Rental(name) => {
+            RecordId::Rental(name) => {
                 if let Some(r) = self.rentals.get_mut(name) {
                     r.record.version = version;
                     r.record.saved = item.and_then(|i| i.value.deserialized().ok());
                 }
             }
-            Dirty::Types => {
+            RecordId::Types => {
                 self.types.version = version;
                 self.types.saved = item.and_then(|i| i.value.deserialized().ok());
             }
         }
         self.refreshing.remove(&what);
         self.set_busy(&what, false);
-        if !matches!(what, Dirty::Page(_)) {
+        if !matches!(what, RecordId::Page(_)) {
             self.mark(what);
         }
         self.flush(mail);
--- a/crates/control/src/leader/tests.rs
+++ b/crates/control/src/leader/tests.rs
@@ -54,7 +54,7 @@
     job.split();
     (0..tasks).for_each(|t| job.put(t, &format!("vm-{t:06}"), 1, false, 0));
     leader.jobs.insert(id.to_string(), job);
-    leader.mark(Dirty::Job(id.to_string()));
+    leader.mark(RecordId::Job(id.to_string()));
 }
 
 /// Flushes, and answers every transaction well: their pages, by key.
@@ -67,7 +67,7 @@
         for (_, op, tag) in std::mem::take(&mut mail.state) {
             let (
                 StateOp::Txn(Txn { guards, writes }),
-                StateTag::Leader(_, Ask::PendingTransaction(n)),
+                StateTag::Leader(_, LeaderRequest::PendingTransaction(n)),
             ) = (op, tag)
             else {
                 panic!("only transactions");
@@ -133,7 +133,7 @@
         .get_mut("run-1")
         .expect("job")
         .complete(3, Some(1.0));
-    leader.mark_lazily(Dirty::Job("run-1".into()), at(20).now);
+    leader.mark_lazily(RecordId::Job("run-1".into()), at(20).now);
     assert!(flush(&mut leader, 20).is_empty(), "nobody waits for it");
     place(&mut leader, "run-3", 1);
     let pages = flush(&mut leader, 30);
@@ -146,7 +146,7 @@
         .get_mut("run-2")
         .expect("job")
         .complete(3, Some(1.0));
-    leader.mark_lazily(Dirty::Job("run-2".into()), at(40).now);
+    leader.mark_lazily(RecordId::Job("run-2".into()), at(40).now);
     assert!(flush(&mut leader, 40 + LAZY_MS - 1_000).is_empty());
     assert_eq!(flush(&mut leader, 40 + LAZY_MS + 1_000).len(), 1);
 }
@@ -203,7 +203,7 @@
         })
     };
     let mut mail = at(5_000);
-    leader.on_state(Ask::Watch(4_000), StateReply::TooOld, &mut mail);
+    leader.on_state(LeaderRequest::Watch(4_000), StateReply::TooOld, &mut mail);
     let first = asked(&mail).expect("the first page");
     let mut mail = at(5_100);
     leader.on_state(first, page(20, true), &mut mail);
--- a/crates/control/src/leader/watch.rs
+++ b/crates/control/src/leader/watch.rs
@@ -14,8 +14,11 @@
         let mut free: Vec<(String, &'static str)> = Vec::new();
         let delegation = self.delegation.as_ref();
         for (name, m) in &mut self.machines {
-            let delegated_until = delegation.and_then(|d| d.answers_until(name));
-            let lapsed = m.lease_lapsed(now.mono, lapse_ms, delegated_until);
+            let is_delegated = m.permit.is_some_and(|permit| {
+                delegation.is_some_and(|d| d.is_granted(permit.partition, now.mono))
+            });
+            let delegated_until = || delegation.and_then(|d| d.answers_until(name));
+            let lapsed = !is_delegated && m.lease_lapsed(now.mono, lapse_ms, delegated_until);
             if lapsed {
                 m.ended_session = m.session;
             }
@@ -57,9 +60,8 @@
         }
         if let Some(m) = self.machines.get_mut(name) {
             m.places.clear();
-            m.has_pending_orders = true;
-            self.recalls_due = true;
         }
+        self.unsettle(name.to_string());
     }
 
     /// Under notice, tasks that can save do so in time; others run on in the hope of completing.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,9 +19,11 @@
 mod peers;
 mod pending_reports;
 mod recent_map;
+mod requests;
 mod rollout;
 pub mod settings;
 mod state;
+mod token_bucket;
 
 pub use ::rollout::{ControllerStatus, RolloutStatus};
 pub use mail::{CallError, CallId, Input, Now, Output, RequestId, Target};
--- a/crates/control/src/machine_types.rs
+++ b/crates/control/src/machine_types.rs
@@ -1,7 +1,7 @@
 //! Reading the machine types that a leader has recorded, for nodes that have not seen any yet.
 
-use crate::mail::{Mail, News, StateTag};
-use crate::state::{Priority, StateOp, StateReply};
+use crate::mail::{Mail, News};
+use crate::requests::{Priority, StateOp, StateReply, StateTag};
 use constants::LEADER_POLL_MS;
 use wire::records::TYPES;
 
--- a/crates/control/src/mail.rs
+++ b/crates/control/src/mail.rs
@@ -1,7 +1,6 @@
 //! What goes in and out of a node, and between its actors.
 
-use crate::cloud::CloudOp;
-use crate::state::{Priority, StateOp};
+use crate::requests::{CloudOp, CloudTag, Priority, StateOp, StateTag};
 use wire::peers::PeerMessage;
 use wire::records::Final;
 
@@ -114,29 +113,6 @@
     },
 }
 
-/// Who asked the state service, and for what.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) enum StateTag {
-    Election(crate::election::Step),
-    User(u64),
-    /// Proof of many answers at once.
-    Proof(u64),
-    /// Search for many ids at once that nothing is known of.
-    Unheard(u64),
-    Types,
-    /// The upgrade, with the number of its request.
-    Rollout(u64),
-    Leader(u64, crate::leader::Ask),
-    /// The ownership table, with the term and the number of the request.
-    Partitions(u64, u64),
-}
-
-/// Who asked the cloud.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) enum CloudTag {
-    Leader(u64, crate::leader::CloudAsk),
-}
-
 /// News for the whole node.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum News {
--- a/crates/control/src/partitions/leading.rs
+++ b/crates/control/src/partitions/leading.rs
@@ -3,14 +3,14 @@
 use super::redirects::Redirects;
 use super::{send, PartitionsStatus, View};
 use crate::leader::{AnsweredReport, Leader};
-use crate::mail::{Mail, StateTag};
+use crate::mail::Mail;
 use crate::peers::Peers;
-use crate::state::{Priority, StateOp, StateReply};
+use crate::requests::{Priority, StateOp, StateReply, StateTag};
 use ::partitions::rebalance::{Candidate, Pins, Rebalancer};
 use ::partitions::{partition_of, Handover};
 use constants::{
-    HOUSEKEEPING_MS, PEER_FRESH_MS, PERMITS_A_FRAME, PERMITS_WAIT_MS, REDIRECT_GRANT_MS,
-    TABLE_RETRY_MS,
+    HOUSEKEEPING_MS, PEER_FRESH_MS, PERMITS_A_FRAME, PERMITS_REVIEW_MS, PERMITS_WAIT_MS,
+    REDIRECT_GRANT_MS, TABLE_RETRY_MS,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use wire::partitions::{ControllerLoad, GrantRequest, PartitionBody, PartitionId, Permit};
@@ -49,6 +49,7 @@
     pending: Option<Pending>,
     next_request: u64,
     next_look: u64,
+    next_review: u64,
     /// A record of the table can't be used: nothing is granted.
     is_unusable: bool,
     own_load: ControllerLoad,
@@ -71,6 +72,7 @@
             pending: None,
             next_request: now,
             next_look: now,
+            next_review: now,
             is_unusable: false,
             own_load: ControllerLoad::default(),
         }
@@ -127,7 +129,10 @@
             return;
         }
         self.next_look = now + HOUSEKEEPING_MS;
-        leader.review_delegation(now);
+        if now >= self.next_review {
+            self.next_review = now + PERMITS_REVIEW_MS;
+            leader.review_delegation(now);
+        }
         if !view.rollout.has_partitions() || self.is_unusable {
             return;
         }
--- a/crates/control/src/partitions/redirects.rs
+++ b/crates/control/src/partitions/redirects.rs
@@ -1,6 +1,6 @@
 //! Workers that the leader sends to the owners of their partitions: a few at a time, and no worker to and fro.
 
-use crate::state::Bucket;
+use crate::token_bucket::TokenBucket;
 use constants::{
     REDIRECTED_MAX, REDIRECTS_A_SECOND, REDIRECTS_FAILED, REDIRECT_DOUBLINGS, REDIRECT_PAUSE_MS,
 };
@@ -19,7 +19,7 @@
 
 /// Redirects of one term.
 pub(super) struct Redirects {
-    rate: Bucket,
+    rate: TokenBucket,
     workers: HashMap<String, Redirected>,
     /// Workers in a row that came back from an owner, with the time of the last.
     failed: HashMap<String, (u32, u64)>,
@@ -28,7 +28,7 @@
 impl Redirects {
     pub fn new() -> Self {
         Redirects {
-            rate: Bucket::new(REDIRECTS_A_SECOND, REDIRECTS_A_SECOND),
+            rate: TokenBucket::new(REDIRECTS_A_SECOND, REDIRECTS_A_SECOND),
             workers: HashMap::new(),
             failed: HashMap::new(),
         }
--- a/crates/control/src/rollout.rs
+++ b/crates/control/src/rollout.rs
@@ -1,10 +1,10 @@
 //! Upgrades of the controllers: drives the state machines of the `rollout` crate with the state service, heartbeats and
 //! what users' requests prove, and tells the node which features are open.
 
-use crate::mail::{Mail, News, StateTag};
+use crate::mail::{Mail, News};
 use crate::peers::Peers;
+use crate::requests::{Priority, StateOp, StateReply, StateTag};
 use crate::settings::{Finalization, RolloutSettings, Settings};
-use crate::state::{Priority, StateOp, StateReply};
 use constants::ROLLOUT_LOG_MS;
 use rollout::{
     Event, Feature, Gates, GenerationMachine, Identity, LevelRange, Output, Policy, Reply, Request,
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,134 +1,12 @@
 //! Client of the state service: budgets, priorities, and answers told apart.
 
-use crate::mail::{CallError, CallId, Mail, Now, Output, StateTag, Target};
+use crate::mail::{CallError, CallId, Mail, Now, Output, Target};
+use crate::requests::{Priority, StateOp, StateReply, StateTag};
+use crate::token_bucket::TokenBucket;
 use constants::*;
 use std::collections::{HashMap, VecDeque};
 use wire::state::*;
 
-/// Order in which requests are sent when the budget is short. Each but the first has a rate of its own, so that however
-/// many of one are waiting, the others go on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Priority {
-    /// Elections, renewals, watches, and what is asked once a while.
-    Leadership,
-    /// Transactions that create or cancel jobs.
-    Change,
-    /// What has to be read for a submission or a cancellation.
-    ChangeRead,
-    /// The leader's records.
-    Books,
-    /// Transactions that answer many questions at once.
-    Proof,
-    /// What has to be read for a single question.
-    Question,
-}
-
-impl Priority {
-    const ALL: [Priority; 6] = [
-        Priority::Leadership,
-        Priority::Change,
-        Priority::ChangeRead,
-        Priority::Books,
-        Priority::Proof,
-        Priority::Question,
-    ];
-
-    /// Whether a user waits for the answer.
-    fn is_for_user(self) -> bool {
-        !matches!(self, Priority::Leadership | Priority::Books)
-    }
-}
-
-/// A request to the state service.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) enum StateOp {
-    Get(String),
-    List { prefix: &'static str, from: String },
-    Txn(Txn),
-    Grant { ttl_ms: u64 },
-    Renew(u64),
-    Revoke(u64),
-    Watch { prefix: &'static str, from: u64 },
-}
-
-/// What came of it.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) enum StateReply {
-    Item(Item),
-    Missing,
-    Page(Page),
-    Committed {
-        version: u64,
-    },
-    Conflict {
-        failed: Vec<String>,
-    },
-    Granted(u64),
-    Renewed,
-    NoLease,
-    Changes(Changes),
-    /// The watch must start anew.
-    TooOld,
-    /// Certainly not executed.
-    Refused,
-    /// Certainly not executed, and never will be as it is.
-    Invalid,
-    /// Executed, not executed, or yet to be executed.
-    Unknown,
-}
-
-/// Tokens that refill steadily.
-pub(crate) struct Bucket {
-    rate: f64,
-    burst: f64,
-    level: f64,
-    at: u64,
-}
-
-impl Bucket {
-    pub fn new(rate: f64, burst: f64) -> Self {
-        Bucket {
-            rate,
-            burst: burst.max(1.0),
-            level: burst.max(1.0),
-            at: 0,
-        }
-    }
-
-    fn refill(&mut self, now: u64) {
-        let passed = now.saturating_sub(self.at) as f64 / 1000.0;
-        self.level = (self.level + passed * self.rate).min(self.burst);
-        self.at = now;
-    }
-
-    /// Goes on at another rate.
-    pub fn set(&mut self, rate: f64, burst: f64) {
-        self.rate = rate;
-        self.burst = burst.max(1.0);
-        self.level = self.level.min(self.burst);
-    }
-
-    /// Takes `n`; a request larger than the burst is let through when the bucket is full.
-    pub fn take(&mut self, now: u64, n: f64) -> bool {
-        self.refill(now);
-        let enough = self.level + 1e-9 >= n.min(self.burst);
-        if enough {
-            self.level -= n;
-        }
-        enough
-    }
-
-    /// Milliseconds until `n` can be taken.
-    pub fn wait(&self, n: f64) -> u64 {
-        let lack = n.min(self.burst) - self.level;
-        if lack <= 0.0 {
-            0
-        } else {
-            (lack / self.rate * 1000.0).ceil() as u64 + 1
-        }
-    }
-}
-
 struct Waiting {
     op: StateOp,
     tag: StateTag,
@@ -138,11 +16,11 @@
 pub(crate) struct StateClient {
     /// Controllers that share the state service's rate.
     nodes: usize,
-    requests: Bucket,
-    change_reads: Bucket,
-    questions: Bucket,
-    user_writes: Bucket,
-    book_writes: Bucket,
+    requests: TokenBucket,
+    change_reads: TokenBucket,
+    questions: TokenBucket,
+    user_writes: TokenBucket,
+    book_writes: TokenBucket,
     queues: [VecDeque<Waiting>; Priority::ALL.len()],
     inflight: HashMap<CallId, (StateOp, StateTag)>,
     paused_until: u64,
@@ -192,7 +70,7 @@
     /// A client of one of `nodes` controllers that share these rates.
     pub fn new(rps: f64, write_rps: f64, nodes: usize) -> Self {
         let shares = Shares::new(rps, write_rps, nodes);
-        let bucket = |(rate, burst): (f64, f64)| Bucket::new(rate, burst);
+        let bucket = |(rate, burst): (f64, f64)| TokenBucket::new(rate, burst);
         StateClient {
             nodes,
             requests: bucket(shares.requests),
@@ -292,9 +170,9 @@
                     self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
                     break;
                 }
-                self.requests.level -= 1.0;
+                self.requests.spend(1.0);
                 let (own, amount) = self.own_bucket(priority, writes);
-                own.level -= amount;
+                own.spend(amount);
                 self.reading_is_next = match priority {
                     Priority::Proof => true,
                     Priority::Question => false,
@@ -325,7 +203,7 @@
     ///
     /// With one rate for all, users' questions, which go before the books, left the books nothing during a flood, and
     /// submissions waited behind questions until they were refused.
-    fn own_bucket(&mut self, priority: Priority, writes: f64) -> (&mut Bucket, f64) {
+    fn own_bucket(&mut self, priority: Priority, writes: f64) -> (&mut TokenBucket, f64) {
         match priority {
             Priority::Leadership | Priority::Books => (&mut self.book_writes, writes),
             Priority::Change => (&mut self.user_writes, writes),
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -20,6 +20,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::RangeInclusive;
 use wire::cloud::Rent;
+use wire::peers::PeerMessage;
 use wire::records::{final_key, Final, LEVEL};
 use wire::state::{Txn, Write};
 use wire::users::*;
@@ -35,6 +36,8 @@
 pub const KIND: &str = "g4";
 /// What such a machine has: CPUs, GPUs, memory in GB.
 pub const MACHINE: (f64, f64, f64) = (32.0, 4.0, 256.0);
+/// Path of workers' reports.
+const REPORT_PATH: &str = "/v1/report";
 /// Milliseconds for which a worker waits for an answer.
 const REPORT_DROP_MS: u64 = 4_000;
 
@@ -63,11 +66,41 @@
     life: u64,
 }
 
+/// What a turn of a node is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TurnAbout {
+    /// A worker's report, directly or passed on by a peer, or the answer to one that was passed on.
+    Report,
+    /// Partitions: grants, permits, recalls.
+    Partitions,
+    /// Another message, reply or request.
+    Other,
+    /// Time that passed.
+    Tick,
+}
+
+impl TurnAbout {
+    fn of(input: &Input) -> Self {
+        match input {
+            Input::Request { target, .. } if target == REPORT_PATH => TurnAbout::Report,
+            Input::Peer { message, .. } => match message {
+                PeerMessage::Forward { target, .. } if target == REPORT_PATH => TurnAbout::Report,
+                PeerMessage::Forwarded { .. } => TurnAbout::Report,
+                PeerMessage::Partitions(_) => TurnAbout::Partitions,
+                _ => TurnAbout::Other,
+            },
+            _ => TurnAbout::Other,
+        }
+    }
+}
+
 /// A turn of a node.
 #[derive(Debug, Clone, Copy)]
 pub struct Turn {
     /// The node.
     pub node: usize,
+    /// What it was about.
+    pub about: TurnAbout,
     /// Microseconds of the stopwatch that it took.
     pub took_us: u64,
 }
@@ -441,7 +474,8 @@
                     self.ticks += 1;
                     let started = (self.stopwatch)();
                     node.tick(now);
-                    note_turn(&mut self.turns, i, started, self.stopwatch);
+                    let turn = (i, TurnAbout::Tick);
+                    note_turn(&mut self.turns, turn, started, self.stopwatch);
                 }
             }
             self.drain(i);
@@ -517,13 +551,17 @@
 
 fn note_turn(
     turns: &mut Option<Vec<Turn>>,
-    node: usize,
+    (node, about): (usize, TurnAbout),
     started: u64,
     stopwatch: control::Stopwatch,
 ) {
     if let Some(turns) = turns {
         let took_us = stopwatch().saturating_sub(started);
-        turns.push(Turn { node, took_us });
+        turns.push(Turn {
+            node,
+            about,
+            took_us,
+        });
     }
 }
 
--- a/crates/fakes/src/network.rs
+++ b/crates/fakes/src/network.rs
@@ -97,9 +97,10 @@
                 let slot = &mut self.nodes[i];
                 if slot.life == life {
                     if let Some(node) = &mut slot.node {
+                        let turn = (i, TurnAbout::of(&input));
                         let started = (self.stopwatch)();
                         node.handle(now, input);
-                        note_turn(&mut self.turns, i, started, self.stopwatch);
+                        note_turn(&mut self.turns, turn, started, self.stopwatch);
                     }
                 }
                 self.drain(i);
--- a/crates/partitions/src/delegation.rs
+++ b/crates/partitions/src/delegation.rs
@@ -6,7 +6,7 @@
 
 use crate::hash::{partition_of, PARTITION_COUNT};
 use constants::{ANSWERS_KEPT_MS, DRIFT, RECALLS_A_GRANT, STEADY_REPORTS};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use wire::partitions::*;
 
 /// A request that the leader does not act on.
@@ -52,8 +52,6 @@
 struct IssuedPermit {
     number: u64,
     issued_at: u64,
-    /// A recall was sent apart from grants.
-    recall_sent: bool,
     /// Number of the first grant that recalled it.
     recalled_in: Option<u64>,
 }
@@ -62,6 +60,8 @@
 struct PartitionState {
     grant: Option<PartitionGrant>,
     permits: HashMap<String, IssuedPermit>,
+    /// Machines whose permits are withdrawn, until the owner has confirmed it.
+    withdrawn: BTreeSet<String>,
 }
 
 /// Grants and permits of one term.
@@ -70,6 +70,10 @@
     partitions: Vec<PartitionState>,
     /// Latest moments at which machines may have been answered under permits that are over.
     answered: HashMap<String, u64>,
+    /// Machines whose permits were withdrawn since recalls were last sent apart from grants.
+    urgent: Vec<String>,
+    /// Machines whose permits have ended since the caller last asked.
+    ended: Vec<String>,
     last_permit: u64,
     last_grant: u64,
     report_ms: u64,
@@ -82,6 +86,8 @@
         Delegation {
             partitions: partitions.collect(),
             answered: HashMap::new(),
+            urgent: Vec::new(),
+            ended: Vec::new(),
             last_permit: 0,
             last_grant: 0,
             report_ms,
@@ -101,16 +107,20 @@
         open.max(self.answered.get(machine).copied())
     }
 
-    /// Whether an owner answers a machine: it tells of it once it does not hear it.
-    pub fn is_watched_by_owner(&self, machine: &str, now: u64) -> bool {
-        let state = self.state(machine);
-        let is_granted = state.grant.as_ref().is_some_and(|grant| now < grant.until);
-        let watched = |permit: &IssuedPermit| now < permit.issued_at + self.refresh_overdue_ms();
-        is_granted && state.permits.get(machine).is_some_and(watched)
+    /// Whether somebody may answer for a partition now.
+    pub fn is_granted(&self, partition: PartitionId, now: u64) -> bool {
+        let state = self.partitions.get(usize::from(partition));
+        let grant = state.and_then(|state| state.grant.as_ref());
+        grant.is_some_and(|grant| now < grant.until)
+    }
+
+    /// Machines whose permits have ended since this was last asked.
+    pub fn take_ended(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.ended)
     }
 
     /// Milliseconds after which a steady machine has been passed on again, unless its owner does not know the permit.
-    fn refresh_overdue_ms(&self) -> u64 {
+    pub fn refresh_overdue_ms(&self) -> u64 {
         2 * STEADY_REPORTS * self.report_ms
     }
 
@@ -152,18 +162,41 @@
             if is_applied(grant.withheld_in) {
                 grant.until = grant.until.min(now);
             }
-            let confirmed = |permit: &IssuedPermit| is_applied(permit.recalled_in);
-            let answered = &mut self.answered;
-            state.permits.retain(|machine, permit| {
-                if confirmed(permit) {
+            let (permits, answered) = (&mut state.permits, &mut self.answered);
+            let ended = &mut self.ended;
+            state.withdrawn.retain(|machine| {
+                let recalled_in = permits.get(machine).and_then(|permit| permit.recalled_in);
+                let is_confirmed = is_applied(recalled_in);
+                if is_confirmed {
+                    permits.remove(machine);
                     note_answer(answered, machine, now);
+                    ended.push(machine.clone());
                 }
-                !confirmed(permit)
+                !is_confirmed
             });
         }
         Ok(heard)
     }
 
+    /// Withdraws the permit of a machine that is no longer steady, if it has one.
+    pub fn withdraw(&mut self, machine: &str) {
+        let state = &mut self.partitions[usize::from(partition_of(machine))];
+        if state.permits.contains_key(machine) && state.withdrawn.insert(machine.to_string()) {
+            self.urgent.push(machine.to_string());
+        }
+    }
+
+    /// Withdraws the permits of all machines that are not steady.
+    pub fn withdraw_unless(&mut self, is_steady: impl Fn(&str) -> bool) {
+        let permitted = self
+            .partitions
+            .iter()
+            .flat_map(|state| state.permits.keys());
+        let unsteady = permitted.filter(|machine| !is_steady(machine));
+        let unsteady: Vec<String> = unsteady.cloned().collect();
+        unsteady.iter().for_each(|machine| self.withdraw(machine));
+    }
+
     /// An owner says that it uses a permit no more.
     fn relinquished(
         &mut self,
@@ -183,6 +216,8 @@
         let permit = state.permits.get(&word.machine);
         if is_holder && permit.is_some_and(|permit| permit.number <= word.permit) {
             state.permits.remove(&word.machine);
+            state.withdrawn.remove(&word.machine);
+            self.ended.push(word.machine.clone());
         }
         HeardMachine {
             machine: word.machine.clone(),
@@ -191,20 +226,19 @@
     }
 
     /// Grants an owner's process its partitions for `valid_ms` from its request on, as far as no other grant for them may
-    /// still be in use. `is_steady` tells, by what the leader knows now, which machines may go on to be answered by it.
+    /// still be in use. The caller has withdrawn the permits of all machines that are not steady by what it knows now.
     pub fn grant(
         &mut self,
         owner: &str,
         request: &GrantRequest,
         entitled: &[PartitionEpoch],
         valid_ms: u64,
-        is_steady: impl Fn(&str) -> bool,
         now: u64,
     ) -> Grant {
         self.last_grant += 1;
         let number = self.last_grant;
         let until = now + (valid_ms as f64 * DRIFT).ceil() as u64;
-        let recalled = self.recalls_for(owner, request.boot, number, is_steady, now);
+        let recalled = self.recalls_for(owner, request.boot, number, now);
         // A grant must name every recall: with more than it holds, it grants nothing until these are confirmed.
         let is_complete = recalled.len() <= RECALLS_A_GRANT;
         let entitled = if is_complete { entitled } else { &[] };
@@ -248,7 +282,9 @@
             Some(grant) => {
                 for (machine, _) in state.permits.drain() {
                     note_answer(&mut self.answered, &machine, grant.until);
+                    self.ended.push(machine);
                 }
+                state.withdrawn.clear();
             }
             None => {}
         }
@@ -269,14 +305,13 @@
         }
     }
 
-    /// Permits that a grant of this number has to recall: of machines that are not steady, and those of which the owner
-    /// does not seem to know.
+    /// Permits that a grant of this number has to recall: those withdrawn, and those of which the owner does not seem to
+    /// know.
     fn recalls_for(
         &mut self,
         owner: &str,
         boot: u64,
         number: u64,
-        is_steady: impl Fn(&str) -> bool,
         now: u64,
     ) -> Vec<RecalledPermit> {
         let overdue_ms = self.refresh_overdue_ms();
@@ -286,9 +321,13 @@
             if holder.is_none_or(|h| (h.owner.as_str(), h.boot) != (owner, boot)) {
                 continue;
             }
-            for (machine, permit) in &mut state.permits {
-                let is_overdue = now >= permit.issued_at + overdue_ms;
-                if permit.recalled_in.is_some() || is_overdue || !is_steady(machine) {
+            let overdue = state.permits.iter();
+            let overdue = overdue.filter(|(_, permit)| now >= permit.issued_at + overdue_ms);
+            state
+                .withdrawn
+                .extend(overdue.map(|(machine, _)| machine.clone()));
+            for machine in &state.withdrawn {
+                if let Some(permit) = state.permits.get_mut(machine) {
                     permit.recalled_in.get_or_insert(number);
                     recalled.push(RecalledPermit {
                         machine: machine.clone(),
@@ -300,29 +339,18 @@
         recalled
     }
 
-    /// Recalls of machines that are no longer steady, by owner and process, each once: ahead of the next grant, which
-    /// repeats them.
-    pub fn urgent_recalls(
-        &mut self,
-        is_steady: impl Fn(&str) -> bool,
-    ) -> BTreeMap<(String, u64), Vec<RecalledPermit>> {
+    /// Recalls of permits that were just withdrawn, by owner and process: ahead of the next grant, which repeats them.
+    pub fn urgent_recalls(&mut self) -> BTreeMap<(String, u64), Vec<RecalledPermit>> {
         let mut recalls: BTreeMap<(String, u64), Vec<RecalledPermit>> = BTreeMap::new();
-        for state in &mut self.partitions {
-            let Some(grant) = &state.grant else {
+        for machine in std::mem::take(&mut self.urgent) {
+            let state = &self.partitions[usize::from(partition_of(&machine))];
+            let permit = state.permits.get(&machine).map(|permit| permit.number);
+            let (Some(grant), Some(permit)) = (&state.grant, permit) else {
                 continue;
             };
-            let holder = &grant.holder;
-            for (machine, permit) in &mut state.permits {
-                if permit.recall_sent || is_steady(machine) {
-                    continue;
-                }
-                permit.recall_sent = true;
-                let key = (holder.owner.clone(), holder.boot);
-                recalls.entry(key).or_default().push(RecalledPermit {
-                    machine: machine.clone(),
-                    permit: permit.number,
-                });
-            }
+            let key = (grant.holder.owner.clone(), grant.holder.boot);
+            let recalled = RecalledPermit { machine, permit };
+            recalls.entry(key).or_default().push(recalled);
         }
         recalls
     }
@@ -346,10 +374,10 @@
         let issued = IssuedPermit {
             number,
             issued_at: now,
-            recall_sent: false,
             recalled_in: None,
         };
         state.permits.insert(machine.to_string(), issued);
+        state.withdrawn.remove(machine);
         let epoch = grant.holder.epoch;
         let permit = Permit {
             machine: machine.to_string(),
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod gates;
 mod generation;
+mod identity;
 mod machine;
 mod observation;
 pub mod plan;
@@ -24,8 +25,9 @@
 
 pub use gates::Gates;
 pub use generation::GenerationMachine;
+pub use identity::{Identity, Policy};
 pub use levels::{Feature, LevelRange};
-pub use machine::{Identity, Output, Policy, RolloutMachine};
+pub use machine::{Output, RolloutMachine};
 pub use observation::Liveness;
 pub use request::{Event, Reply, Request};
 pub use snapshot::{Snapshot, Stored};
--- a/crates/rollout/src/machine.rs
+++ b/crates/rollout/src/machine.rs
@@ -1,7 +1,8 @@
 //! One controller's part in staged upgrades.
 
 use crate::gates::Gates;
-use crate::levels::{Feature, Level, LevelRange, GENERATION_1};
+use crate::identity::{Identity, Policy};
+use crate::levels::{Feature, Level, GENERATION_1};
 use crate::observation::Liveness;
 use crate::plan::{self, Controller, Transition, View};
 use crate::request::{Event, Reply, Request};
@@ -13,30 +14,6 @@
 use wire::records::{Phase, LEADER, LEVEL, MARK, MEMBERS, ROLLOUT, TERM};
 use wire::state::{Guard, Item};
 
-/// Who a process is.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Identity {
-    /// Label of the controller.
-    pub label: String,
-    /// Name of the build.
-    pub build: String,
-    /// Number drawn at the start of the process.
-    pub boot: u64,
-    /// Levels that it can run.
-    pub range: LevelRange,
-}
-
-/// How operators want upgrades to go.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Policy {
-    /// Whether a level is finalized once it has soaked; else it stays reversible.
-    pub finalizes: bool,
-    /// Milliseconds that it soaks.
-    pub soak_ms: u64,
-    /// Milliseconds without progress after which an upgrade is paused.
-    pub stall_ms: u64,
-}
-
 /// Whether a process may take part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Admission {
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -4,8 +4,8 @@
 //! So of two that were computed from the same reading one at most is executed, whoever computed them and however late
 //! they arrive; and an announcement that comes between a reading and a transition fails the transition.
 
+use crate::identity::Identity;
 use crate::levels::{Feature, Level, LevelRange};
-use crate::machine::Identity;
 use crate::observation::Liveness;
 use crate::snapshot::{Snapshot, Stored};
 use wire::records::{
--- a/crates/rollout/src/supervision.rs
+++ b/crates/rollout/src/supervision.rs
@@ -1,7 +1,7 @@
 //! Watching over an upgrade: who is heard, for how long a level has been active without trouble, and what speaks against
 //! going on.
 
-use crate::machine::{Identity, Policy};
+use crate::identity::{Identity, Policy};
 use crate::observation::{Liveness, Observations};
 use crate::plan::Controller;
 use crate::request::Event;
