Partitions: refused settings tested with the program itself

Cause: pins that contradict each other or name nobody end the program with exit code 2; only the check itself had been written.

--- a/crates/vetchmount/tests/staged_upgrade_processes.rs
+++ b/crates/vetchmount/tests/staged_upgrade_processes.rs
@@ -163,8 +163,45 @@
         let message = String::from_utf8_lossy(&output.stderr).to_string();
         (output.status.code(), message)
     };
-    let (code, message) = check(&example, r#"{"rollout": {}}"#);
-    assert_eq!(code, Some(0), "{message}");
+    for good in [
+        r#"{"rollout": {}}"#,
+        r#"{"rollout": {}, "partitions": {"pins": [{"controller": "n1", "partitions": [0, 63], "share": 0.2}]}}"#,
+    ] {
+        let (code, message) = check(&example, good);
+        assert_eq!(code, Some(0), "{message}");
+    }
+    let pins = |pins: &str| format!(r#"{{"rollout": {{}}, "partitions": {{"pins": [{pins}]}}}}"#);
+    for (json, field) in [
+        (
+            r#"{"partitions": {}}"#.to_string(),
+            "partitions: needs rollout",
+        ),
+        (
+            pins(r#"{"controller": "n9"}"#),
+            "partitions.pins.controller",
+        ),
+        (
+            pins(r#"{"controller": "n1", "partitions": [64]}"#),
+            "partitions.pins.partitions",
+        ),
+        (
+            pins(
+                r#"{"controller": "n1", "partitions": [3]}, {"controller": "n2", "partitions": [3]}"#,
+            ),
+            "partitions.pins.partitions",
+        ),
+        (
+            pins(r#"{"controller": "n1", "share": 0.6}, {"controller": "n2", "share": 0.6}"#),
+            "partitions.pins.share",
+        ),
+        (pins(r#"{"controller": "n1", "share": 1.5}"#), "share"),
+        (pins(r#"{"controller": "n1", "portion": 0.5}"#), "portion"),
+    ] {
+        let (code, message) = check(&example, &json);
+        assert_eq!(code, Some(2), "{json}");
+        assert!(message.contains(field), "{message} should name {field}");
+        assert_eq!(message.lines().count(), 1, "{message}");
+    }
     for (json, field) in [
         (
             r#"{"rollout": {"oldest_level": 2, "newest_level": 1}}"#,
