Review case 1: with machines on offer that are never asked for

Reading the planning of rentals showed that it counts the avoided machine's room as room for the job. The case now has one machine and a cloud with twenty more; the service asks for none. Scripts end all that they started when they are interrupted.

--- a/review/standins/src/bin/failed_once.rs
+++ b/review/standins/src/bin/failed_once.rs
@@ -1,28 +1,28 @@
-//! Of four machines three are full, and one has room. This one fails every task that it starts, for some seconds, and a
-//! job fails on it once. The case looks whether the job is started within 90 s after the machine is sound again.
+//! The only machine runs a long task and has room. It fails every task that it starts, for some seconds, and a job fails
+//! on it once. The cloud has further machines. The case looks whether the job is started again within 90 s after the
+//! machine is sound again.
 
 use review_standins::site::{Plan, Site};
 use review_standins::user::Job;
-use review_standins::worker::{Behaviour, Behaviours, Worker};
+use review_standins::worker::{Behaviour, Behaviours};
 use review_standins::{sleep, trouble};
 use std::sync::Arc;
 
 const COULD_NOT_RUN: i32 = 2;
 /// The bound of the rule, in seconds.
 const BOUND_S: f64 = 90.0;
-/// How long the machines fail at most, in seconds.
+/// How long the machine fails at most, in seconds.
 const FAILING_S: f64 = 20.0;
-const MACHINES: usize = 4;
-/// Its three tasks fill three machines all the time.
-const FULL: &str = "run-000001";
-/// Its task takes half of the fourth machine all the time.
-const HALF: &str = "run-000002";
-const JOB: &str = "run-000003";
+/// Machines that the cloud would rent out.
+const OFFERED: u64 = 20;
+/// Its task runs all the time and takes half of the machine.
+const LONG: &str = "run-000001";
+const JOB: &str = "run-000002";
 
 fn main() {
     let mut site = Site::prepare(Plan::ferries());
     let behaviours: Arc<Behaviours> = Arc::new(|job: &str| match job {
-        FULL | HALF => Behaviour {
+        LONG => Behaviour {
             fetch_s: 0.5,
             run_s: 600.0,
             gang: 1,
@@ -40,108 +40,77 @@
     site.controllers.finish(status);
 }
 
-fn job(
-    site: &Site,
-    id: &str,
-    shards: u64,
-    (cpus, gpus, mem_gb): (f64, f64, f64),
-    guess_s: f64,
-) -> Job {
+fn job(site: &Site, id: &str, guess_s: f64) -> Job {
     Job {
         id: id.into(),
         cohort: "swellrisk-sweep".into(),
         tenant: site.plan.team.into(),
         shape: "array".into(),
-        shards,
-        cpus,
-        gpus,
-        mem_gb,
+        shards: 1,
+        cpus: 10.0,
+        gpus: 1.0,
+        mem_gb: 72.0,
         loaners: true,
         guess_s,
         awaits: Vec::new(),
     }
 }
 
-/// Number of this job's tasks that are on a machine.
-fn tasks_of(worker: &Worker, id: &str) -> usize {
-    worker
-        .live()
-        .iter()
-        .filter(|task| task.starts_with(id))
-        .count()
-}
-
-fn launches(workers: &[Arc<Worker>]) -> usize {
-    let all = workers.iter().flat_map(|worker| worker.launches());
-    all.filter(|launch| launch.shard.starts_with(JOB)).count()
-}
-
 fn run(site: &Site, behaviours: &Arc<Behaviours>) -> i32 {
     let record = &site.record;
-    let machine = |n: usize| site.add_machine(&format!("vm-{n:06}"), n % 2, false, behaviours);
-    let workers: Vec<Arc<Worker>> = (1..=MACHINES).map(machine).collect();
-    if !site.wait(20.0, || workers.iter().all(|worker| worker.mandate() > 0)) {
+    let worker = site.add_machine("vm-000001", 0, false, behaviours);
+    if !site.wait(20.0, || worker.mandate() > 0) {
         return COULD_NOT_RUN;
     }
-    for (id, tasks, needs) in [(FULL, 3, (20.0, 2.0, 140.0)), (HALF, 1, (10.0, 1.0, 140.0))] {
-        if !site
-            .users
-            .submit_until_accepted(0, &job(site, id, tasks, needs, 600.0))
-        {
-            return COULD_NOT_RUN;
-        }
-        if !site.wait(15.0, || {
-            workers
-                .iter()
-                .map(|worker| tasks_of(worker, id))
-                .sum::<usize>()
-                == tasks as usize
-        }) {
-            return COULD_NOT_RUN;
-        }
+    if !site.users.submit_until_accepted(0, &job(site, LONG, 600.0)) {
+        return COULD_NOT_RUN;
     }
-    let Some(with_room) = workers.iter().find(|worker| tasks_of(worker, HALF) == 1) else {
+    let is_long_running = || worker.live() == [format!("{LONG}/0")];
+    if !site.wait(15.0, is_long_running) {
         return COULD_NOT_RUN;
-    };
-    let host = &with_room.host;
-    record.say(format!("the machine with room for one more task is {host}"));
+    }
+    site.offer_machines(OFFERED, behaviours);
     if trouble() {
-        with_room.set_failing(true);
+        worker.set_failing(true);
     }
-    if !site
-        .users
-        .submit_until_accepted(0, &job(site, JOB, 1, (10.0, 1.0, 40.0), 10.0))
-    {
+    if !site.users.submit_until_accepted(0, &job(site, JOB, 10.0)) {
         return COULD_NOT_RUN;
     }
+    let starts = || {
+        let workers = review_standins::lock(&site.workers);
+        let launches = workers.values().flat_map(|worker| worker.launches());
+        launches
+            .filter(|launch| launch.shard.starts_with(JOB))
+            .count()
+    };
     if trouble() {
-        if !site.wait(FAILING_S, || launches(&workers) > 0) {
+        if !site.wait(FAILING_S, || starts() > 0) {
             return COULD_NOT_RUN;
         }
         sleep(2.0);
-        with_room.set_failing(false);
+        worker.set_failing(false);
     }
-    let (since, before) = (record.now(), if trouble() { launches(&workers) } else { 0 });
+    let (since, before) = (record.now(), if trouble() { starts() } else { 0 });
     record.say(format!(
         "the troubles are over; {JOB} has been started {before} times"
     ));
     let mut next_question = since;
     let mut had_room = true;
-    while record.now() < since + BOUND_S + 1.0 && launches(&workers) == before {
-        had_room &= tasks_of(with_room, HALF) == 1 && with_room.live().len() == 1;
+    while record.now() < since + BOUND_S + 1.0 && starts() == before {
+        had_room &= is_long_running();
         if record.now() >= next_question {
             site.users.ask(0, JOB);
             next_question += 5.0;
-            let (sent, answered, node) = with_room.contact();
-            let live = with_room.live();
+            let (sent, answered, node) = worker.contact();
+            let live = worker.live();
             record.say(format!(
-                "{host} runs {live:?}, last report {sent:.3}, answered {answered:.3} by n{node}"
+                "vm-000001 runs {live:?}, last report {sent:.3}, answered {answered:.3} by n{node}"
             ));
         }
         sleep(0.05);
     }
     let waited = record.now() - since;
-    if launches(&workers) > before {
+    if starts() > before {
         record.say(format!("held: {JOB} was started after {waited:.1} s"));
         return 0;
     }
@@ -150,7 +119,9 @@
         return COULD_NOT_RUN;
     }
     record.say(format!(
-        "BROKEN: {JOB} has waited for {waited:.1} s, while {host} was sound and had room for it"
+        "BROKEN: {JOB} has waited for {waited:.1} s, while vm-000001 was sound and had room for it; of {OFFERED} further \
+         machines on offer the service has asked for {}",
+        site.cloud.rentals()
     ));
     1
 }
--- a/review/standins/src/bin/trial.rs
+++ b/review/standins/src/bin/trial.rs
@@ -430,7 +430,7 @@
         let ids: Vec<String> = {
             let ledger = lock(ledger);
             let asked = ledger.jobs.iter().filter(|(_, k)| k.accepted_at.is_some());
-            let open = asked.filter(|(_, k)| k.final_phase.is_none() || turn % 5 == 0);
+            let open = asked.filter(|(_, k)| k.final_phase.is_none() || turn.is_multiple_of(5));
             open.map(|(id, _)| id.clone()).collect()
         };
         turn += 3;
@@ -454,7 +454,7 @@
     // Ends of troubles: when, and what ends.
     let mut ends: Vec<(f64, usize, &'static str)> = Vec::new();
     let (late, lost) = (
-        if seed % 3 == 0 { 0.04 } else { 0.0 },
+        if seed.is_multiple_of(3) { 0.04 } else { 0.0 },
         if seed % 3 == 1 { 0.04 } else { 0.0 },
     );
     site.state.set_faults(|f| (f.late, f.lost) = (late, lost));
--- a/review/standins/src/cloud.rs
+++ b/review/standins/src/cloud.rs
@@ -1,6 +1,6 @@
 //! The cloud: rents machines, lists them late, and takes them back.
 
-use crate::cbor::{decode, encode, get_int, get_list, map, text, Value};
+use crate::cbor::{decode, encode, get, get_int, get_list, get_text, map, text, Value};
 use crate::http::{listen, serve, Reply};
 use crate::record::Record;
 use crate::{lock, sleep, Bucket};
@@ -40,6 +40,8 @@
     pub loaners: bool,
     /// When it was rented; machines that are up at the start have a time before it.
     pub since: f64,
+    /// When its worker began, or will begin, to report.
+    pub up_at: f64,
     /// When it stopped by itself.
     pub failed_at: Option<f64>,
     /// When it was given back or taken.
@@ -55,7 +57,21 @@
     pub hosts: Vec<String>,
 }
 
+/// A rental request.
+pub struct Ask {
+    pub breed: String,
+    pub valley: String,
+    pub loaners: bool,
+}
+
+/// Called for each machine that is rented, with its name. It starts the machine, and returns how the cloud lists it.
+pub type OnRent = dyn Fn(&Ask, &str) -> Host + Send + Sync;
+
 struct Market {
+    /// How many machines may still be rented.
+    left: u64,
+    /// The answers so far, by request name.
+    asks: BTreeMap<String, Vec<String>>,
     hosts: BTreeMap<String, Host>,
     calls: Bucket,
     returns: Vec<Returned>,
@@ -64,13 +80,14 @@
 /// Called with the name of each machine that is given back.
 pub type OnGone = dyn Fn(&str) + Send + Sync;
 
-/// A running cloud. It has no more machines than those it was started with.
+/// A running cloud. It has no more machines than those it was started with, unless some are added to be rented.
 pub struct Cloud {
     record: Record,
     breeds: Vec<Breed>,
     limits: Limits,
     market: Mutex<Market>,
     on_gone: Mutex<Option<Arc<OnGone>>>,
+    on_rent: Mutex<Option<Arc<OnRent>>>,
 }
 
 impl Cloud {
@@ -81,11 +98,14 @@
             breeds,
             limits,
             market: Mutex::new(Market {
+                left: 0,
+                asks: BTreeMap::new(),
                 hosts: BTreeMap::new(),
                 calls: Bucket::new(limits.rps, 2.0),
                 returns: Vec::new(),
             }),
             on_gone: Mutex::new(None),
+            on_rent: Mutex::new(None),
         })
     }
 
@@ -119,6 +139,17 @@
         *lock(&self.on_gone) = Some(call);
     }
 
+    /// Lets so many machines be rented.
+    pub fn offer(&self, machines: u64, start: Arc<OnRent>) {
+        lock(&self.market).left = machines;
+        *lock(&self.on_rent) = Some(start);
+    }
+
+    /// Number of requests for machines so far that were filled.
+    pub fn rentals(&self) -> usize {
+        lock(&self.market).asks.len()
+    }
+
     /// The return requests so far.
     pub fn returns(&self) -> Vec<Returned> {
         lock(&self.market).returns.clone()
@@ -135,12 +166,7 @@
         let (status, answer) = match (method, path) {
             ("GET", "/machine_types") => (200, self.types()),
             ("GET", "/hosts") => (200, self.list(query)),
-            ("POST", "/hosts") => {
-                let number = get_int(&request, "number").unwrap_or(0);
-                self.record
-                    .say(format!("cloud n{node} rent {number} -> 503 no capacity"));
-                (503, map(vec![("error", text("no capacity"))]))
-            }
+            ("POST", "/hosts") => self.rent(node, &request),
             ("POST", "/hosts/return") => (200, self.take_back(node, &request)),
             _ => (400, Value::Null),
         };
@@ -148,6 +174,52 @@
         Reply::Answer(status, encode(&answer))
     }
 
+    /// A repeated request gets the same answer and rents nothing.
+    fn rent(&self, node: usize, request: &Value) -> (u16, Value) {
+        let field = |name: &str| get_text(request, name).unwrap_or("").to_string();
+        let (ask, number) = (
+            field("ask"),
+            get_int(request, "number").unwrap_or(0).min(50),
+        );
+        let loaners = matches!(get(request, "loaners"), Some(Value::Bool(true)));
+        let details = Ask {
+            breed: field("breed"),
+            valley: field("valley"),
+            loaners,
+        };
+        let mut market = lock(&self.market);
+        let known = market.asks.get(&ask).cloned();
+        let names = known.unwrap_or_else(|| {
+            let rented = number.min(market.left);
+            let first = 1_000 - market.left;
+            market.left -= rented;
+            let names: Vec<String> = (first..first + rented)
+                .map(|n| format!("vm-{n:06}"))
+                .collect();
+            let start = lock(&self.on_rent).clone();
+            for name in &names {
+                if let Some(start) = &start {
+                    market.hosts.insert(name.clone(), start(&details, name));
+                }
+            }
+            if !names.is_empty() {
+                market.asks.insert(ask.clone(), names.clone());
+            }
+            names
+        });
+        drop(market);
+        if names.is_empty() {
+            self.record.say(format!(
+                "cloud n{node} rent {ask} {number} -> 503 no capacity"
+            ));
+            return (503, map(vec![("error", text("no capacity"))]));
+        }
+        self.record
+            .say(format!("cloud n{node} rent {ask} {number} -> {names:?}"));
+        let names = names.iter().map(|name| text(name)).collect();
+        (200, map(vec![("hosts", Value::Array(names))]))
+    }
+
     fn types(&self) -> Value {
         let breed = |breed: &Breed| {
             map(vec![
@@ -200,13 +272,18 @@
             let is_failed = host
                 .failed_at
                 .is_some_and(|at| at + 30.0 <= self.record.now());
+            let phase = match is_failed {
+                true => "failed",
+                false if host.up_at > as_of => "booting",
+                false => "running",
+            };
             hosts.push(map(vec![
                 ("id", text(&host.id)),
                 ("endpoint", text(&host.endpoint.to_string())),
                 ("breed", text(&host.breed)),
                 ("valley", text(&host.valley)),
                 ("loaners", Value::Bool(host.loaners)),
-                ("phase", text(if is_failed { "failed" } else { "running" })),
+                ("phase", text(phase)),
                 ("held_s", Value::Float(as_of - host.since)),
             ]));
         }
--- a/review/standins/src/controllers.rs
+++ b/review/standins/src/controllers.rs
@@ -4,6 +4,7 @@
 use crate::lock;
 use crate::record::Record;
 use std::fs::File;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -114,9 +115,17 @@
             "controller n{number} started, process {}",
             child.id()
         ));
+        self.note_process(child.id());
         lock(&self.processes)[number] = Some(child);
     }
 
+    /// Notes a process for the script, which ends it if this program is killed.
+    fn note_process(&self, id: u32) {
+        let path = self.folder.join("pids");
+        let file = File::options().create(true).append(true).open(path);
+        let _ = file.and_then(|mut file| writeln!(file, "{id}"));
+    }
+
     fn log_path(&self, number: usize, start: usize) -> PathBuf {
         self.folder.join(format!("n{number}-{start}.log"))
     }
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -266,48 +266,98 @@
         loaners: bool,
         behaviours: &Arc<Behaviours>,
     ) -> Arc<Worker> {
-        let labels: Vec<String> = (0..self.plan.controllers).map(Controllers::label).collect();
-        let valley = self.plan.zones[zone];
+        let garage = self.garage(behaviours);
+        let (worker, listed) = garage.start(host, self.plan.zones[zone], loaners, 0.0);
+        self.cloud.add(listed);
+        worker
+    }
+
+    /// Lets so many machines be rented. They take six tenths of the type's usual time to come up.
+    pub fn offer_machines(&self, machines: u64, behaviours: &Arc<Behaviours>) {
+        let garage = self.garage(behaviours);
+        let boot_s = 0.6 * self.plan.breed.startup_s;
+        self.cloud.offer(
+            machines,
+            Arc::new(move |ask: &cloud::Ask, host: &str| {
+                garage.start(host, &ask.valley, ask.loaners, boot_s).1
+            }),
+        );
+    }
+
+    fn garage(&self, behaviours: &Arc<Behaviours>) -> Garage {
+        Garage {
+            record: self.record.clone(),
+            breed: self.plan.breed.name.clone(),
+            timing: self.plan.timing,
+            behaviours: Arc::clone(behaviours),
+            gangs: Arc::clone(&self.gangs),
+            controllers: self.controllers.public.clone(),
+            workers: Arc::clone(&self.workers),
+        }
+    }
+
+    /// Waits until a condition holds. Returns whether it does in time.
+    pub fn wait(&self, seconds: f64, mut condition: impl FnMut() -> bool) -> bool {
+        let until = self.record.now() + seconds;
+        while self.record.now() < until {
+            if condition() {
+                return true;
+            }
+            sleep(0.003);
+        }
+        condition()
+    }
+}
+
+/// Starts machines.
+struct Garage {
+    record: Record,
+    breed: String,
+    timing: Timing,
+    behaviours: Arc<Behaviours>,
+    gangs: Arc<Gangs>,
+    controllers: Vec<SocketAddr>,
+    workers: Arc<Mutex<BTreeMap<String, Arc<Worker>>>>,
+}
+
+impl Garage {
+    /// Starts a machine. Returns its worker, and how the cloud lists the machine.
+    fn start(&self, host: &str, valley: &str, loaners: bool, up_in_s: f64) -> (Arc<Worker>, Host) {
+        let labels: Vec<String> = (0..self.controllers.len())
+            .map(Controllers::label)
+            .collect();
         let machine = Machine {
             host,
-            breed: &self.plan.breed.name,
+            breed: &self.breed,
             valley,
             loaners,
+            up_in_s,
         };
-        let first = host.len() % self.plan.controllers;
+        let first = host.len() % self.controllers.len();
         let worker = Worker::start(
             &self.record,
             &machine,
-            self.plan.timing,
-            behaviours,
+            self.timing,
+            &self.behaviours,
             &self.gangs,
-            &self.controllers.public,
+            &self.controllers,
             &labels,
             first,
         );
-        self.cloud.add(Host {
+        lock(&self.workers).insert(host.to_string(), Arc::clone(&worker));
+        let now = self.record.now();
+        let is_old = up_in_s <= 0.0;
+        let listed = Host {
             id: host.to_string(),
             endpoint: worker.endpoint,
-            breed: self.plan.breed.name.clone(),
+            breed: self.breed.clone(),
             valley: valley.to_string(),
             loaners,
-            since: -60.0,
+            since: if is_old { -60.0 } else { now },
+            up_at: if is_old { -60.0 } else { now + up_in_s },
             failed_at: None,
             gone_at: None,
-        });
-        lock(&self.workers).insert(host.to_string(), Arc::clone(&worker));
-        worker
-    }
-
-    /// Waits until a condition holds. Returns whether it does in time.
-    pub fn wait(&self, seconds: f64, mut condition: impl FnMut() -> bool) -> bool {
-        let until = self.record.now() + seconds;
-        while self.record.now() < until {
-            if condition() {
-                return true;
-            }
-            sleep(0.003);
-        }
-        condition()
+        };
+        (worker, listed)
     }
 }
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -150,6 +150,8 @@
     pub breed: &'a str,
     pub valley: &'a str,
     pub loaners: bool,
+    /// Seconds until it is up.
+    pub up_in_s: f64,
 }
 
 impl Worker {
@@ -166,7 +168,7 @@
         first: usize,
     ) -> Arc<Self> {
         let (listener, endpoint) = listen();
-        let now = record.now();
+        let now = record.now() + machine.up_in_s;
         let worker = Arc::new(Worker {
             host: machine.host.to_string(),
             endpoint,
