Log how old the leader's knowledge of cancellations is when it starts a task

The node passes the leader what it may do as one value (Authority: whether it may decide, and up to when cancellations are known) in place of a flag.

--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -4,6 +4,7 @@
 //! depends on a record (`launch`, `reap`, `done`, a rental) is sent before the record is known to be saved. Machines
 //! have no records: the leader learns of them from their workers, the cloud's list and recent rental requests.
 
+mod authority;
 mod cancellation;
 mod consolidation;
 mod delegation;
@@ -28,6 +29,7 @@
 mod worker_heartbeats;
 mod worker_silence;
 
+pub(crate) use authority::Authority;
 pub(crate) use delegation::AnsweredHeartbeat;
 pub(crate) use watch::direct_call;
 pub(crate) use worker_heartbeats::{DeferredAnswer, HeartbeatOutcome};
--- a/crates/control/src/leader/worker_heartbeats.rs
+++ b/crates/control/src/leader/worker_heartbeats.rs
@@ -18,7 +18,7 @@
 pub(in crate::leader) use task_names::task_name;
 
 use super::model::Machine;
-use super::Leader;
+use super::{Authority, Leader};
 use crate::effects::Now;
 use wire::cloud::MachineType;
 use wire::workers::{HeartbeatResponse, Order, WorkerHeartbeat};
@@ -34,11 +34,11 @@
 }
 
 impl Leader {
-    /// Handles a worker's heartbeat. Starts are sent only if the leader is `active`.
+    /// Handles a worker's heartbeat. Starts are sent only as far as `authority` allows.
     pub fn on_worker_heartbeat(
         &mut self,
         heartbeat: WorkerHeartbeat,
-        active: bool,
+        authority: Authority,
         now: Now,
     ) -> HeartbeatOutcome {
         if heartbeat.term > self.term {
@@ -67,7 +67,7 @@
         self.update_reachability(&heartbeat, previous_answer, now.mono);
         self.update_reporting_machine(&heartbeat, now.mono);
         let has_freed_capacity = self.reconcile_tasks(&heartbeat, now);
-        self.answer_or_defer(heartbeat, has_freed_capacity, active, now)
+        self.answer_or_defer(heartbeat, has_freed_capacity, authority, now)
     }
 
     /// The machine that sent a heartbeat. A machine that is not known yet is added.
--- a/crates/control/src/leader/worker_heartbeats/deferral.rs
+++ b/crates/control/src/leader/worker_heartbeats/deferral.rs
@@ -5,7 +5,7 @@
 use super::{find_machine_type, milliseconds, HeartbeatOutcome};
 use crate::effects::Now;
 use crate::leader::model::{AssignmentStage, Machine};
-use crate::leader::Leader;
+use crate::leader::{Authority, Leader};
 use constants::{DECISION_WAIT_MS, WORK_LONG_POLL_LEASE_SHARE, WORK_LONG_POLL_MS};
 use wire::workers::{HeartbeatResponse, TaskStatus, WorkerHeartbeat};
 
@@ -46,12 +46,13 @@
         &mut self,
         heartbeat: WorkerHeartbeat,
         has_freed_capacity: bool,
-        active: bool,
+        authority: Authority,
         now: Now,
     ) -> HeartbeatOutcome {
         let name = heartbeat.machine.clone();
-        let deferred = self.defer_answer(heartbeat, has_freed_capacity, active, now.mono);
-        if let Some(response) = self.answer_deferred(&deferred, active, now) {
+        let deferred =
+            self.defer_answer(heartbeat, has_freed_capacity, authority.is_active, now.mono);
+        if let Some(response) = self.answer_deferred(&deferred, authority, now) {
             return HeartbeatOutcome::Answer(response);
         }
         if let Some(machine) = self.machines.get_mut(&name) {
@@ -120,7 +121,7 @@
     pub fn answer_deferred(
         &mut self,
         deferred: &DeferredAnswer,
-        active: bool,
+        authority: Authority,
         now: Now,
     ) -> Option<HeartbeatResponse> {
         let term = self.term;
@@ -133,13 +134,13 @@
             let orders = Vec::new();
             return Some(HeartbeatResponse { term, orders });
         };
-        if active && now.mono < self.answer_deadline(deferred, machine) {
+        if authority.is_active && now.mono < self.answer_deadline(deferred, machine) {
             return None;
         }
         if let Some(machine) = self.machines.get_mut(&deferred.machine) {
             machine.has_deferred_answer = false;
         }
-        let orders = self.orders_for(&deferred.machine, &deferred.tasks, active, now);
+        let orders = self.orders_for(&deferred.machine, &deferred.tasks, authority, now);
         Some(HeartbeatResponse { term, orders })
     }
 
--- a/crates/control/src/leader/worker_heartbeats/orders.rs
+++ b/crates/control/src/leader/worker_heartbeats/orders.rs
@@ -3,7 +3,7 @@
 use super::task_names::{parse_task_name, task_name};
 use crate::effects::Now;
 use crate::leader::model::{AssignmentStage, StopRequest};
-use crate::leader::Leader;
+use crate::leader::{Authority, Leader};
 use constants::ORDERS_PER_ANSWER_MAX;
 use wire::workers::{Order, TaskPhase, TaskStatus};
 
@@ -16,20 +16,20 @@
         &mut self,
         name: &str,
         listed: &[TaskStatus],
-        active: bool,
+        authority: Authority,
         now: Now,
     ) -> Vec<Order> {
         let Some(machine) = self.machines.get(name) else {
             return Vec::new();
         };
-        let may_start = active && machine.draining.is_none() && !machine.returning;
+        let may_start = authority.is_active && machine.draining.is_none() && !machine.returning;
         let mut orders: Vec<Order> = listed
             .iter()
             .filter_map(|status| self.order_for_listed_task(name, status))
             .take(ORDERS_PER_ANSWER_MAX)
             .collect();
         if may_start {
-            self.add_start_orders(name, &mut orders, now.mono);
+            self.add_start_orders(name, &mut orders, authority, now.mono);
         }
         orders
     }
@@ -61,18 +61,31 @@
     }
 
     /// Adds the starts that may be sent to a machine, up to the maximum number of orders in an answer.
-    fn add_start_orders(&mut self, machine: &str, orders: &mut Vec<Order>, now: u64) {
+    fn add_start_orders(
+        &mut self,
+        machine: &str,
+        orders: &mut Vec<Order>,
+        authority: Authority,
+        now: u64,
+    ) {
         for (id, task) in self.assigned_tasks_on_machine(machine) {
             if orders.len() >= ORDERS_PER_ANSWER_MAX {
                 return;
             }
-            orders.extend(self.start_order(machine, &id, task, now));
+            orders.extend(self.start_order(machine, &id, task, authority, now));
         }
     }
 
     /// The order to start a task in the answer to its machine's last heartbeat, if its assignment is recorded and the
     /// start has not been sent.
-    fn start_order(&mut self, name: &str, id: &str, task: u32, now: u64) -> Option<Order> {
+    fn start_order(
+        &mut self,
+        name: &str,
+        id: &str,
+        task: u32,
+        authority: Authority,
+        now: u64,
+    ) -> Option<Order> {
         let machine = self.machines.get(name)?;
         let job = self.jobs.get_mut(id).filter(|job| !job.aborted)?;
         if !job.is_startable(task) {
@@ -81,7 +94,10 @@
         let assignment = job.assignment_mut(task)?;
         let latency_ms = now.saturating_sub(assignment.decided_at);
         self.start_latencies.sent.add(latency_ms);
-        log::debug!("event=launch task={id}/{task} machine={name} after_ms={latency_ms}");
+        let known_ago_ms = now.saturating_sub(authority.cancellations_known_until);
+        log::debug!(
+            "event=launch task={id}/{task} machine={name} after_ms={latency_ms} known_ago_ms={known_ago_ms}"
+        );
         assignment.stage = AssignmentStage::Sent {
             incarnation: machine.incarnation,
             seq: machine.heartbeat_seq,
--- a/crates/control/src/node/answering_rights.rs
+++ b/crates/control/src/node/answering_rights.rs
@@ -2,6 +2,7 @@
 //! cancellations that it knows of.
 
 use super::Node;
+use crate::leader::Authority;
 use constants::{CANCELLATION_KNOWLEDGE_MAX_AGE_MS, ISOLATION_NOT_READY_MS};
 
 impl Node {
@@ -41,6 +42,14 @@
             && self.are_cancellations_known_within(CANCELLATION_KNOWLEDGE_MAX_AGE_MS, now)
     }
 
+    /// Returns what the leader may do now.
+    pub(super) fn leader_authority(&self, now: u64) -> Authority {
+        Authority {
+            is_active: self.is_active(now),
+            cancellations_known_until: self.cancellations_known_until().unwrap_or(0),
+        }
+    }
+
     /// Returns whether the leader may answer workers, which renews the leases of their tasks.
     ///
     /// Jobs may be cancelled without the leader's knowledge, in particular while it doesn't reach
--- a/crates/control/src/node/delivery.rs
+++ b/crates/control/src/node/delivery.rs
@@ -62,9 +62,9 @@
         if !self.deferred_answers.is_due(self.leader.as_mut(), now) {
             return;
         }
-        let active = self.is_active(now);
+        let authority = self.leader_authority(now);
         let may_answer_workers = self.may_answer_workers(now);
         let leader = self.leader.as_mut().filter(|_| may_answer_workers);
-        self.deferred_answers.release(leader, active, effects);
+        self.deferred_answers.release(leader, authority, effects);
     }
 }
--- a/crates/control/src/node/worker_heartbeats.rs
+++ b/crates/control/src/node/worker_heartbeats.rs
@@ -156,12 +156,12 @@
         if !self.may_answer_workers(now.mono) {
             return effects.refuse(id, 503, "not entitled to answer workers");
         }
-        let active = self.is_active(now.mono);
+        let authority = self.leader_authority(now.mono);
         let Some(leader) = &mut self.leader else {
             return;
         };
         let answered = AnsweredHeartbeat::new(&heartbeat);
-        match leader.on_worker_heartbeat(heartbeat, active, now) {
+        match leader.on_worker_heartbeat(heartbeat, authority, now) {
             HeartbeatOutcome::Answer(response) => {
                 if response.orders.is_empty() {
                     self.delegate_machine(id, &answered, now.mono);
--- a/crates/control/src/pending_heartbeats/deferred_answers.rs
+++ b/crates/control/src/pending_heartbeats/deferred_answers.rs
@@ -3,7 +3,7 @@
 //! heartbeat.
 
 use crate::effects::{Effects, RequestId};
-use crate::leader::{DeferredAnswer, Leader};
+use crate::leader::{Authority, DeferredAnswer, Leader};
 use constants::DEFERRED_ANSWERS_CHECK_INTERVAL_MS;
 
 /// A request whose answer is deferred.
@@ -53,7 +53,7 @@
     pub fn release(
         &mut self,
         mut leader: Option<&mut Leader>,
-        is_active: bool,
+        authority: Authority,
         effects: &mut Effects,
     ) {
         let now = effects.now;
@@ -63,7 +63,7 @@
                 effects.refuse(request.id, 503, "not entitled to answer workers");
                 return false;
             };
-            let Some(response) = leader.answer_deferred(&request.answer, is_active, now) else {
+            let Some(response) = leader.answer_deferred(&request.answer, authority, now) else {
                 return true;
             };
             effects.respond(request.id, 200, wire::encode(&response));
