Start a task only with recent proof that its job is not cancelled

What callers saw: a user was told that a job is cancelled, and up to 2.7 s later its task was started.

Cause: a leader started any recorded assignment while its lease was valid by its own clock and its knowledge of cancellations was less than 9 s old. Any node confirms a cancellation right after its commit, so a leader that hears of nothing acts on what has been confirmed away. The cut is one way; a commit whose reply is late, to a leader that its peers can't notify, is another.

Proof is the committed transaction that compared the job's record, dated by its first sending, or what is known of all jobs by the watch or the peers' heartbeats. If both are too old, the answer to the worker waits (a second at most, as for a record) for one read of the changed jobs, which serves all starts; without it the answer goes without starts (event=starts_withheld). This holds whatever keeps the knowledge away, since nobody has to reach the leader. Decisions keep the bound of 9 s: they are recorded on condition that the job is not cancelled.

The simulated cluster now counts a start that is sent over 0.5 s after the confirmation as a violation, in every scenario (started_after_abort).

All tests of the workspace pass.

--- a/crates/constants/src/state_service.rs
+++ b/crates/constants/src/state_service.rs
@@ -7,9 +7,14 @@
 /// watch proves that all cancellations up to its sending are known, and a watch whose connection
 /// was lost silently hides them until it times out.
 pub const WATCH_HOLD_MS: u64 = 3_000;
-/// Milliseconds for which a leader decides and starts tasks without new proof that it knows all
-/// cancellations: one watch that times out and the next one's answer, with some slack.
+/// Milliseconds for which a leader makes decisions without new proof that it knows all
+/// cancellations: one watch that times out and the next one's answer, with some slack. A decision
+/// is recorded on condition that its job is not cancelled, so this bounds wasted work alone.
 pub const CANCELLATION_KNOWLEDGE_MAX_AGE_MS: u64 = 9_000;
+/// Milliseconds after which the proof that a job is not cancelled no longer allows its tasks to be
+/// started. A start may cross the confirmation of a cancellation for half a second; a fifth of that
+/// is left for its way to the worker.
+pub const START_PROOF_MAX_AGE_MS: u64 = 400;
 /// Milliseconds between two watches. Each change ends a watch, and at many changes a second the
 /// watches would use up the request rate that users need.
 pub const WATCH_INTERVAL_MIN_MS: u64 = 50;
--- a/crates/control/src/leader/job_watch.rs
+++ b/crates/control/src/leader/job_watch.rs
@@ -6,7 +6,7 @@
 use crate::effects::Effects;
 use crate::requests::{Priority, Reread, StateOp, StatePurpose, StateReply};
 use ciborium::Value;
-use constants::{STATE_RETRY_MS, WATCH_FAILURES_MAX, WATCH_INTERVAL_MIN_MS};
+use constants::{STATE_RETRY_MS, WATCH_FAILURES_MAX, WATCH_HOLD_MS, WATCH_INTERVAL_MIN_MS};
 use wire::records::{JobRecord, JOB_PREFIX};
 use wire::state::{Change, Changes, Page};
 
@@ -46,6 +46,7 @@
         let op = StateOp::Watch {
             prefix: JOB_PREFIX,
             from: self.job_watch.revision,
+            hold_ms: WATCH_HOLD_MS,
         };
         // With the priority of the leader's own writes, the watch, and with it cancellations, could be delayed by
         // seconds.
@@ -69,12 +70,18 @@
 
     fn on_changes(&mut self, sent_at: u64, changes: Changes, effects: &mut Effects) {
         self.job_watch.failures = 0;
+        self.apply_changes(sent_at, changes, effects);
+        self.job_watch.retry_at = effects.now.mono + WATCH_INTERVAL_MIN_MS;
+        self.tick(false, effects);
+    }
+
+    /// Applies the changes that a watch or a read, sent at `sent_at`, has returned. Changes that are known already have
+    /// no effect.
+    pub(super) fn apply_changes(&mut self, sent_at: u64, changes: Changes, effects: &mut Effects) {
         for change in changes.changes {
             self.on_change(change, effects);
         }
         self.job_watch.advance(changes.revision, sent_at);
-        self.job_watch.retry_at = effects.now.mono + WATCH_INTERVAL_MIN_MS;
-        self.tick(false, effects);
     }
 
     fn on_watch_failure(&mut self, effects: &mut Effects) {
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -21,6 +21,7 @@
 mod releases;
 mod rental;
 mod start_latencies;
+mod start_proofs;
 mod store;
 #[cfg(test)]
 mod tests;
@@ -48,6 +49,7 @@
 use model::{BootTimes, Job, Machine, RecordCell};
 use rental::{OfferBackoff, OfferKey, Rental};
 use start_latencies::StartLatencies;
+use start_proofs::ChangeRead;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use wire::cloud::MachineType;
 use wire::records::JobOutcome;
@@ -82,6 +84,8 @@
     jobs: BTreeMap<String, Job>,
     /// The watch that reports changes of open jobs.
     job_watch: JobWatch,
+    /// The read of changed jobs that precedes a start.
+    change_read: ChangeRead,
     /// Dependencies among jobs.
     dependencies: dependencies::Dependencies,
     /// Outcomes of the jobs archived in this term.
@@ -179,6 +183,7 @@
             resumed_at: 0,
             jobs: BTreeMap::new(),
             job_watch: JobWatch::default(),
+            change_read: ChangeRead::default(),
             dependencies: dependencies::Dependencies::default(),
             archived_jobs: RecentMap::new(FINAL_PHASE_CACHE_ENTRIES),
             cancellation_notices: RecentMap::new(FINAL_PHASE_CACHE_ENTRIES),
@@ -244,6 +249,7 @@
         match request {
             StatePurpose::Load(prefix) => self.on_load_reply(prefix, reply, effects),
             StatePurpose::Watch(sent) => self.on_watch_reply(sent, reply, effects),
+            StatePurpose::ReadChanges(sent) => self.on_change_read_reply(sent, reply, effects),
             StatePurpose::PendingTransaction(number) => {
                 self.on_transaction_reply(number, reply, effects)
             }
--- a/crates/control/src/leader/model/job.rs
+++ b/crates/control/src/leader/model/job.rs
@@ -33,6 +33,9 @@
     pub record_version: u64,
     /// The user has cancelled the job.
     pub aborted: bool,
+    /// Time up to which no cancellation of the job had been confirmed: when a transaction was sent that compared the
+    /// version of the job's record and was committed; 0 if there was none (monotonic clock, milliseconds).
+    pub uncancelled_until: u64,
     /// The record of that version shows the cancellation. A peer's notice of it may arrive before the record.
     pub recorded_abort: bool,
     /// Tasks per chunk: `WIDE_CHUNK_TASKS` in the wide form, `DENSE_CHUNK_TASKS` in the dense form.
@@ -86,6 +89,7 @@
             submitted_at: record.accepted_at_ms,
             record_version: version,
             aborted: record.aborted,
+            uncancelled_until: 0,
             recorded_abort: record.aborted,
             tasks_per_chunk: constants::WIDE_CHUNK_TASKS,
             chunks: BTreeMap::new(),
--- a/crates/control/src/leader/model/machine.rs
+++ b/crates/control/src/leader/model/machine.rs
@@ -165,6 +165,11 @@
             && delegated_until().is_none_or(answered_long_ago)
     }
 
+    /// Whether tasks may be started on the machine: it is neither being drained nor returned.
+    pub fn accepts_starts(&self) -> bool {
+        self.draining.is_none() && !self.returning
+    }
+
     /// Whether an owner may continue to answer the heartbeats: no orders are pending, and the machine is steady.
     pub fn may_stay_delegated(&self) -> bool {
         !self.has_pending_orders && self.is_steady()
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -133,7 +133,8 @@
         }
     }
 
-    fn start_transaction(&mut self, transaction: PendingTransaction, effects: &mut Effects) {
+    fn start_transaction(&mut self, mut transaction: PendingTransaction, effects: &mut Effects) {
+        transaction.first_sent_at = effects.now.mono;
         let number = self.transactions.insert(transaction);
         self.send_transaction(number, effects);
     }
@@ -186,6 +187,7 @@
 
     fn on_transaction_committed(&mut self, number: u64, version: u64, effects: &mut Effects) {
         if let Some(transaction) = self.transactions.remove(number) {
+            self.note_uncancelled_jobs(&transaction.txn, transaction.first_sent_at);
             for change in transaction.changes {
                 self.on_change_saved(change, version, effects);
             }
--- a/crates/control/src/leader/store/builder.rs
+++ b/crates/control/src/leader/store/builder.rs
@@ -120,6 +120,7 @@
     pub fn build(self) -> PendingTransaction {
         PendingTransaction {
             txn: self.txn,
+            first_sent_at: 0,
             changes: self.changes,
             is_ambiguous: false,
         }
--- a/crates/control/src/leader/store/transaction.rs
+++ b/crates/control/src/leader/store/transaction.rs
@@ -67,6 +67,8 @@
 pub(super) struct PendingTransaction {
     /// The transaction as it is sent to the state service.
     pub txn: Txn,
+    /// When it was first sent; 0 before (monotonic clock, milliseconds).
+    pub first_sent_at: u64,
     /// The record changes that it makes.
     pub changes: Vec<RecordChange>,
     /// Whether an earlier send had an unknown outcome.
--- a/crates/control/src/leader/timers.rs
+++ b/crates/control/src/leader/timers.rs
@@ -12,6 +12,7 @@
             return self.request_next_list(effects);
         }
         self.open_job_watch(effects);
+        self.send_wanted_change_read(effects);
         self.process_dependencies(effects);
         self.run_housekeeping(active, effects);
         let now = effects.now.mono;
@@ -47,7 +48,8 @@
         let next_round = (active && self.round_due).then_some(self.next_round_at);
         let next_watch = (!self.job_watch.in_flight).then_some(self.job_watch.retry_at);
         let next_retry = self.transactions.next_retry();
-        [next_round, next_watch, next_retry]
+        let next_change_read = self.change_read.next_wake();
+        [next_round, next_watch, next_change_read, next_retry]
             .into_iter()
             .flatten()
             .chain([self.next_housekeeping_at, self.next_dependency_wake()])
--- a/crates/control/src/leader/worker_heartbeats/deferral.rs
+++ b/crates/control/src/leader/worker_heartbeats/deferral.rs
@@ -19,7 +19,8 @@
     heartbeat_id: (u64, u64),
     /// Number of the last planning round, if the heartbeat freed capacity that the next round may use.
     capacity_freed_in_round: Option<u64>,
-    /// Until when the answer may wait for a planning round and for assignments to be recorded.
+    /// Until when the answer may wait for a planning round, for assignments to be recorded, and for proof that their
+    /// jobs are not cancelled.
     decision_deadline: u64,
     /// Until when the answer may wait for a task to be assigned to free capacity.
     work_deadline: u64,
@@ -36,6 +37,8 @@
 struct DueStarts {
     /// Some assignment must be recorded before its start may be sent.
     has_unrecorded: bool,
+    /// Some start on a machine that accepts it needs newer proof that its job is not cancelled.
+    has_unproven: bool,
     /// Some start may be sent.
     has_startable: bool,
 }
@@ -134,7 +137,12 @@
             let orders = Vec::new();
             return Some(HeartbeatResponse { term, orders });
         };
-        if authority.is_active && now.mono < self.answer_deadline(deferred, machine) {
+        let starts = self.due_starts(machine, authority, now.mono);
+        let deadline = self.answer_deadline(deferred, machine, &starts);
+        if authority.is_active && now.mono < deadline {
+            if starts.has_unproven {
+                self.change_read.request();
+            }
             return None;
         }
         if let Some(machine) = self.machines.get_mut(&deferred.machine) {
@@ -145,12 +153,16 @@
     }
 
     /// Until when a deferred answer waits in the present state; 0 if there is nothing to wait for.
-    fn answer_deadline(&self, deferred: &DeferredAnswer, machine: &Machine) -> u64 {
-        let starts = self.due_starts(machine);
+    fn answer_deadline(
+        &self,
+        deferred: &DeferredAnswer,
+        machine: &Machine,
+        starts: &DueStarts,
+    ) -> u64 {
         let is_undecided = deferred
             .capacity_freed_in_round
             .is_some_and(|round| round == self.rounds && self.round_due);
-        if starts.has_unrecorded || is_undecided {
+        if starts.has_unrecorded || starts.has_unproven || is_undecided {
             deferred.decision_deadline.max(deferred.work_deadline)
         } else if machine.draining.is_none() && !starts.has_startable {
             deferred.work_deadline
@@ -159,9 +171,10 @@
         }
     }
 
-    fn due_starts(&self, machine: &Machine) -> DueStarts {
+    fn due_starts(&self, machine: &Machine, authority: Authority, now: u64) -> DueStarts {
         let mut starts = DueStarts {
             has_unrecorded: false,
+            has_unproven: false,
             has_startable: false,
         };
         for (id, task) in &machine.assignments {
@@ -172,9 +185,12 @@
             if assignment.is_none_or(|assignment| assignment.stage != AssignmentStage::Unsent) {
                 continue;
             }
-            match job.is_startable(*task) {
-                true => starts.has_startable = true,
-                false => starts.has_unrecorded = true,
+            if !job.is_startable(*task) {
+                starts.has_unrecorded = true;
+            } else if self.is_start_proven(id, authority, now) {
+                starts.has_startable = true;
+            } else {
+                starts.has_unproven = machine.accepts_starts();
             }
         }
         starts
--- a/crates/control/src/leader/worker_heartbeats/orders.rs
+++ b/crates/control/src/leader/worker_heartbeats/orders.rs
@@ -22,7 +22,7 @@
         let Some(machine) = self.machines.get(name) else {
             return Vec::new();
         };
-        let may_start = authority.is_active && machine.draining.is_none() && !machine.returning;
+        let may_start = authority.is_active && machine.accepts_starts();
         let mut orders: Vec<Order> = listed
             .iter()
             .filter_map(|status| self.order_for_listed_task(name, status))
@@ -60,7 +60,8 @@
         }
     }
 
-    /// Adds the starts that may be sent to a machine, up to the maximum number of orders in an answer.
+    /// Adds the starts that may be sent to a machine, up to the maximum number of orders in an answer. Starts of jobs
+    /// that may have been cancelled meanwhile are left out.
     fn add_start_orders(
         &mut self,
         machine: &str,
@@ -68,16 +69,36 @@
         authority: Authority,
         now: u64,
     ) {
-        for (id, task) in self.assigned_tasks_on_machine(machine) {
+        let mut withheld_tasks = 0;
+        for (id, task) in self.startable_tasks_on_machine(machine) {
             if orders.len() >= ORDERS_PER_ANSWER_MAX {
-                return;
+                break;
             }
-            orders.extend(self.start_order(machine, &id, task, authority, now));
+            if self.is_start_proven(&id, authority, now) {
+                orders.extend(self.start_order(machine, &id, task, authority, now));
+            } else {
+                withheld_tasks += 1;
+            }
+        }
+        if withheld_tasks > 0 {
+            let known_ago_ms = now.saturating_sub(authority.cancellations_known_until);
+            log::info!(
+                "event=starts_withheld machine={machine} tasks={withheld_tasks} known_ago_ms={known_ago_ms}"
+            );
         }
     }
 
-    /// The order to start a task in the answer to its machine's last heartbeat, if its assignment is recorded and the
-    /// start has not been sent.
+    /// The tasks whose assignments to a machine are recorded and whose starts have not been sent.
+    fn startable_tasks_on_machine(&self, machine: &str) -> Vec<(String, u32)> {
+        let mut tasks = self.assigned_tasks_on_machine(machine);
+        tasks.retain(|(id, task)| {
+            let job = self.jobs.get(id);
+            job.is_some_and(|job| !job.aborted && job.is_startable(*task))
+        });
+        tasks
+    }
+
+    /// The order to start a startable task in the answer to its machine's last heartbeat.
     fn start_order(
         &mut self,
         name: &str,
@@ -86,15 +107,11 @@
         authority: Authority,
         now: u64,
     ) -> Option<Order> {
+        let known_ago_ms = now.saturating_sub(self.uncancelled_until(id, authority));
         let machine = self.machines.get(name)?;
-        let job = self.jobs.get_mut(id).filter(|job| !job.aborted)?;
-        if !job.is_startable(task) {
-            return None;
-        }
-        let assignment = job.assignment_mut(task)?;
+        let assignment = self.jobs.get_mut(id)?.assignment_mut(task)?;
         let latency_ms = now.saturating_sub(assignment.decided_at);
         self.start_latencies.sent.add(latency_ms);
-        let known_ago_ms = now.saturating_sub(authority.cancellations_known_until);
         log::debug!(
             "event=launch task={id}/{task} machine={name} after_ms={latency_ms} known_ago_ms={known_ago_ms}"
         );
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -68,6 +68,8 @@
         prefix: &'static str,
         /// Revision up to which changes are known.
         from: u64,
+        /// Milliseconds to wait if there are no changes yet.
+        hold_ms: u64,
     },
 }
 
@@ -217,6 +219,9 @@
     Load(&'static str),
     /// Watches the open jobs. The number is the time at which the watch was sent.
     Watch(u64),
+    /// Reads the changes of open jobs without waiting for one, before tasks are started. The number is the time at
+    /// which the read was sent.
+    ReadChanges(u64),
     /// Executes a pending transaction, identified by its number.
     PendingTransaction(u64),
     /// Rereads a record whose version is uncertain, with its key.
--- a/crates/control/src/state/calls.rs
+++ b/crates/control/src/state/calls.rs
@@ -2,7 +2,7 @@
 
 use crate::effects::{CallId, CallTarget, Output};
 use crate::requests::StateOp;
-use constants::{RECORD_LIST_PAGE_SIZE, STATE_TIMEOUT_MS, WATCH_HOLD_MS};
+use constants::{RECORD_LIST_PAGE_SIZE, STATE_TIMEOUT_MS};
 use wire::state::LeaseRequest;
 
 /// Encodes a request as an HTTP call.
@@ -38,8 +38,12 @@
         StateOp::Grant { .. } => "/leases".to_string(),
         StateOp::Renew(lease) => format!("/leases/{lease}/renew"),
         StateOp::Revoke(lease) => format!("/leases/{lease}"),
-        StateOp::Watch { prefix, from } => {
-            format!("/changes?under={prefix}&from={from}&hold_ms={WATCH_HOLD_MS}")
+        StateOp::Watch {
+            prefix,
+            from,
+            hold_ms,
+        } => {
+            format!("/changes?under={prefix}&from={from}&hold_ms={hold_ms}")
         }
     }
 }
@@ -57,7 +61,7 @@
         // A page of many records takes longer than a single record.
         StateOp::List { .. } => 2 * STATE_TIMEOUT_MS,
         // The state service replies once something changes, or after the hold time.
-        StateOp::Watch { .. } => WATCH_HOLD_MS + STATE_TIMEOUT_MS,
+        StateOp::Watch { hold_ms, .. } => hold_ms + STATE_TIMEOUT_MS,
         _ => STATE_TIMEOUT_MS,
     }
 }
--- a/crates/control/tests/cancellations.rs
+++ b/crates/control/tests/cancellations.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::*;
-use fakes::{array_job, World};
+use fakes::{array_job, StateServiceLimits, World};
 use wire::users::Phase;
 
 /// Time in which the tasks of a cancelled job must have ended (`cancel_s`), with a margin.
@@ -188,6 +188,129 @@
     assert_no_violations(&w);
 }
 
+/// Submits a one-task job through a follower, and waits until the leader has recorded an assignment that it can send
+/// only in the answer to a later report. Returns false if the task was started meanwhile.
+fn record_assignment_without_start(w: &mut World, node: usize, id: &str) -> bool {
+    let status = w.submit(node, &array_job(id, 1), runs_for(600_000));
+    assert_eq!(status, 201);
+    let mut is_recorded = false;
+    for _ in 0..20 {
+        is_recorded = recorded_page_entries(w).iter().any(|entry| entry.job == id);
+        if is_recorded {
+            break;
+        }
+        w.run_for(10);
+    }
+    // The leader receives the reply to its transaction.
+    w.run_for(20);
+    is_recorded && w.workers.values().all(|worker| worker.tasks.is_empty())
+}
+
+/// Guards against starts that rest on outdated knowledge: a leader that lost the state service and its peers started,
+/// while its lease was valid, tasks of jobs whose cancellation another node had confirmed.
+#[test]
+fn an_isolated_leader_starts_no_task_of_a_job_cancelled_through_another_node() {
+    let mut late_starts = Vec::new();
+    let mut isolated_before_the_start = 0;
+    for offset in 0..20 {
+        let mut w = start_cluster(3, 1, 0.0);
+        let leader = w.leader().expect("leader");
+        let other_node = follower(&w);
+        // Reports are answered at once, so that a start waits for the next one.
+        w.set_crowded(leader, true);
+        w.run_for(4_000 + 100 * offset);
+        if !record_assignment_without_start(&mut w, other_node, "run-1") {
+            continue;
+        }
+        isolated_before_the_start += 1;
+        w.faults.isolated_from_state_service.insert(leader);
+        w.isolated_from_peers.insert(leader);
+        assert_eq!(w.abort(other_node, "run-1"), Some(Phase::Aborted));
+        w.run_for(8_000);
+        late_starts.append(&mut w.rules.late_starts);
+        w.faults.isolated_from_state_service.clear();
+        w.isolated_from_peers.clear();
+        assert_eq!(
+            w.submit(other_node, &array_job("run-2", 1), runs_for(1_000)),
+            201
+        );
+        assert!(completes_within(&mut w, "run-2", 30_000));
+        assert!(w.placed_tasks("run-1").is_empty());
+        assert_no_violations(&w);
+    }
+    assert!(
+        isolated_before_the_start >= 10,
+        "{isolated_before_the_start} of 20"
+    );
+    assert!(late_starts.is_empty(), "{late_starts:#?}");
+}
+
+/// Guards against starts on the reply to a transaction that was executed before the cancellation and answered after it,
+/// to a leader that its peers can't notify.
+#[test]
+fn a_late_commit_reply_starts_no_task_of_a_job_cancelled_meanwhile() {
+    let mut late_starts = Vec::new();
+    for offset in 0..40 {
+        let mut w = start_cluster(3, 2, 0.0);
+        w.seed(offset);
+        let leader = w.leader().expect("leader");
+        let other_node = follower(&w);
+        w.run_for(100 * (offset % 20));
+        w.faults.max_state_response_delay_ms.insert(leader, 1_000);
+        w.isolated_from_peers.insert(leader);
+        assert_eq!(
+            w.submit(other_node, &array_job("run-1", 4), runs_for(600_000)),
+            201
+        );
+        let mut is_recorded = false;
+        for _ in 0..200 {
+            is_recorded = recorded_page_entries(&w)
+                .iter()
+                .any(|entry| entry.job == "run-1");
+            if is_recorded {
+                break;
+            }
+            w.run_for(10);
+        }
+        assert!(is_recorded, "no assignment is recorded at offset {offset}");
+        assert_eq!(w.abort(other_node, "run-1"), Some(Phase::Aborted));
+        w.run_for(8_000);
+        late_starts.append(&mut w.rules.late_starts);
+        assert_no_violations(&w);
+    }
+    assert!(late_starts.is_empty(), "{late_starts:#?}");
+}
+
+/// A leader without its peers proves by reads of the state service that jobs are not cancelled. It goes on starting
+/// tasks, also where a start waits for the worker's next report, within the rate limit of the state service.
+#[test]
+fn a_leader_without_peers_starts_tasks_after_a_read_of_the_state_service() {
+    let mut w = start_cluster(3, 4, 0.0);
+    let leader = w.leader().expect("leader");
+    let other_node = follower(&w);
+    w.state_service.limits = Some(StateServiceLimits {
+        value_bytes: 16 * 1024,
+        txn_ops: 12,
+        rps: 150.0,
+        write_rps: 50.0,
+    });
+    w.set_crowded(leader, true);
+    w.isolated_from_peers.insert(leader);
+    w.run_for(3_000);
+    for round in 0..8 {
+        let id = format!("run-{round}");
+        let status = w.submit(other_node, &array_job(&id, 2), runs_for(600_000));
+        assert_eq!(status, 201);
+        // A round, a transaction and a worker's report.
+        assert!(
+            w.run_until(4_000, |w| w.placed_tasks(&id).len() == 2),
+            "{id}"
+        );
+    }
+    assert_eq!(w.state_service.throttled_requests, 0);
+    assert_no_violations(&w);
+}
+
 /// A node that was told of a cancellation answers with it at once, without the state service, and never reverts it.
 #[test]
 fn every_node_answers_a_cancellation_as_soon_as_one_has_confirmed_it() {
--- a/crates/fakes/src/network.rs
+++ b/crates/fakes/src/network.rs
@@ -8,6 +8,7 @@
 use crate::{ConnectionFault, Party, World, MESSAGE_DELAY_MS};
 use control::{CallError, CallTarget, Input, Node, Output};
 use wire::peers::PeerMessage;
+use wire::workers::{HeartbeatResponse, Order};
 
 impl World {
     /// Sends all pending outputs of a node.
@@ -90,6 +91,7 @@
             return;
         }
         if let Some((machine, seq)) = reporter {
+            self.check_starts(&machine, &body);
             let event = Event::ReportResponse {
                 machine,
                 seq,
@@ -107,6 +109,16 @@
         self.respond(id, status, body);
     }
 
+    /// Checks the starts in the response to a machine's report.
+    fn check_starts(&mut self, machine: &str, body: &[u8]) {
+        let response = wire::decode::<HeartbeatResponse>(body);
+        for order in response.into_iter().flat_map(|response| response.orders) {
+            if let Order::Start { task, attempt } = order {
+                self.rules.start_sent(&task, attempt, machine, self.now);
+            }
+        }
+    }
+
     /// Sends a call of a node to the state service. A call that arrives after its deadline is executed, but gets no
     /// response.
     fn send_to_state(&mut self, sender: Sender, call: Call) {
--- a/crates/fakes/src/rules.rs
+++ b/crates/fakes/src/rules.rs
@@ -82,7 +82,7 @@
     pub violations: Vec<String>,
     reported: BTreeSet<String>,
     /// Starts that a worker executed more than the tolerated delay after the confirmed cancellation of their job. They
-    /// are counted, but violate no rule.
+    /// are counted, but violate no rule: a start that was sent before may be delayed on its way.
     pub late_starts: Vec<String>,
     pending: BTreeMap<u64, PendingRequest>,
     known_stages: BTreeMap<String, Stage>,
@@ -154,16 +154,29 @@
         self.final_phases.get(job).copied()
     }
 
+    /// Records that a controller sent the order to start a task. No task may be started once the cancellation of its job
+    /// is confirmed.
+    pub fn start_sent(&mut self, task: &str, attempt: u64, machine: &str, now: u64) {
+        if self.late_by_ms(task, now).is_some() {
+            let violation = format!("started_after_abort {task} try {attempt} on {machine}");
+            self.report_violation(violation, now);
+        }
+    }
+
     /// Records that a worker started a task.
     pub fn task_started(&mut self, task: &str, attempt: u64, machine: &str, now: u64) {
-        let cancelled = self.cancelled.get(job_of(task));
-        if let Some(at) = cancelled.filter(|at| now > **at + LATE_START_TOLERANCE_MS) {
-            let late = now - at;
-            let start = format!("{task} try {attempt} on {machine} at {now}, {late} ms after");
+        if let Some(late_ms) = self.late_by_ms(task, now) {
+            let start = format!("{task} try {attempt} on {machine} at {now}, {late_ms} ms after");
             self.late_starts.push(start);
         }
     }
 
+    /// Milliseconds between the confirmed cancellation of a task's job and a start now, if they exceed the tolerance.
+    fn late_by_ms(&self, task: &str, now: u64) -> Option<u64> {
+        let cancelled_at = self.cancelled_at(job_of(task))?;
+        (now > cancelled_at + LATE_START_TOLERANCE_MS).then(|| now - cancelled_at)
+    }
+
     /// Records that a task completed on its machine.
     pub fn task_completed(&mut self, task: impl Into<String>) {
         self.completed.insert(task.into());
--- a/crates/fakes/tests/checks.rs
+++ b/crates/fakes/tests/checks.rs
@@ -69,6 +69,12 @@
     checker.response_received(at, status, phase, (jobs, &BTreeSet::new()), at + 5);
 }
 
+/// Records that the cancellation of `run-1` was requested at `at` and confirmed.
+fn confirm_cancellation(checker: &mut RuleChecker, at: u64) {
+    let aborted = Some(Phase::Aborted);
+    request_and_response(checker, at, RequestKind::Abort, 200, aborted);
+}
+
 fn checker_with_accepted_job() -> RuleChecker {
     let mut checker = rule_checker();
     request_and_response(
@@ -251,13 +257,7 @@
 fn starts_after_a_confirmed_cancellation_are_counted_and_violate_no_rule() {
     let mut checker = checker_with_accepted_job();
     checker.task_started("run-1/0", 1, "m1", 1_900);
-    request_and_response(
-        &mut checker,
-        2_000,
-        RequestKind::Abort,
-        200,
-        Some(Phase::Aborted),
-    );
+    confirm_cancellation(&mut checker, 2_000);
     checker.task_started("run-1/0", 2, "m1", 2_100);
     assert_eq!(checker.late_starts.len(), 0);
     checker.task_started("run-1/0", 3, "m1", 3_000);
@@ -265,6 +265,17 @@
     assert_no_violation(&checker);
 }
 
+#[test]
+fn a_start_sent_after_a_confirmed_cancellation() {
+    let mut checker = checker_with_accepted_job();
+    checker.start_sent("run-1/0", 1, "m1", 1_900);
+    confirm_cancellation(&mut checker, 2_000);
+    checker.start_sent("run-1/0", 2, "m1", 2_500);
+    assert_no_violation(&checker);
+    checker.start_sent("run-1/0", 3, "m1", 2_520);
+    assert_violation(&checker, "started_after_abort run-1/0 try 3 on m1");
+}
+
 #[test]
 fn a_response_that_reports_an_earlier_phase_than_a_previous_one() {
     let done = |checker: &mut RuleChecker| {
