Rollout: no upgrade is stalled while every controller is there

What operators saw: an upgrade paused as "no progress, waiting for n2" for good, with n2 announced, heard and listed as confirmed. docs/rollout.md: "it goes on when the cause is over".

Cause: a pause after a controller went back lasts 30 s without a restart. With stall_s below that, the time without progress had passed when it ended, so the upgrade counted as stalled at that moment; no controller was missing, so it named the one that decides, and waited for an announcement that nobody had left to make. With a larger stall_s a controller that is cut off for longer and heard again without a restart leaves the same state behind.

Change: an upgrade is stalled only while some controller lacks the target or is not heard.

Before: an_upgrade_goes_on_after_a_controller_went_back_and_returned FAILED with pause: Some(Stalled { label: "n0" }).

--- a/crates/control/tests/staged_upgrades.rs
+++ b/crates/control/tests/staged_upgrades.rs
@@ -655,6 +655,27 @@
     assert_no_violations(&world);
 }
 
+/// Guards against an upgrade that is paused for good: a controller went back and returned, and the pause that followed
+/// lasted longer than the time after which an upgrade without progress counts as stalled.
+#[test]
+fn an_upgrade_goes_on_after_a_controller_went_back_and_returned() {
+    let mut world = cluster_of(&held(0));
+    for node in 0..NODE_COUNT {
+        replace_build(&mut world, node, &held(2));
+    }
+    assert!(world.run_until(30_000, |world| active_level(world) == 2));
+    replace_build(&mut world, 2, &held(0));
+    assert!(world.run_until(10_000, |world| active_level(world) == 0));
+    replace_build(&mut world, 2, &held(2));
+    assert!(
+        world.run_until(60_000, |world| active_level(world) == 2),
+        "{:?}",
+        level_record(&world)
+    );
+    assert_eq!(level_record(&world).pause, None);
+    assert_no_violations(&world);
+}
+
 #[test]
 fn a_controller_that_restarts_repeatedly_pauses_the_upgrade() {
     let mut world = cluster_of(&automatic(1));
--- a/crates/rollout/src/upgrade_monitor.rs
+++ b/crates/rollout/src/upgrade_monitor.rs
@@ -250,12 +250,10 @@
             let member = snapshot.member(&c.label);
             member.is_none_or(|m| m.newest_level < target) || c.liveness != Liveness::Confirmed
         };
-        let label = controllers
-            .iter()
-            .find(lacks_target)
-            .map(|c| c.label.clone());
+        // If no controller is awaited, only an earlier pause has held the upgrade up.
+        let awaited = controllers.iter().find(lacks_target)?;
         Some(PauseReason::Stalled {
-            label: label.unwrap_or_else(|| self.label.clone()),
+            label: awaited.label.clone(),
         })
     }
 }
