A record read again counts only under the leader key that was won

After a conflict, or a transaction of unknown outcome, the leader reads the record again and takes what it finds for its own work, since "only this leader" writes pages and archives jobs. A leader that was cut off and replaced meanwhile, and has not heard of it, took the next leader's work for its own. Others: assignments of the next leader that count as its own, results that it lets workers forget.

Change: after the read one transaction without writes compares the leader key and the version that was read. Only if both hold does the result count; a changed leader key ends the leadership; a record that has changed since is read again. Conflicts are rare (a job cancelled while it is being placed), so this costs a request now and then. The reads move into store/refresh.rs.

Before: a_missing_record_counts_as_archived_only_under_the_leader_key FAILED, with [JobEnded { job: "run-1", outcome: Done }] right after the missing record. Now it and two more pass, and all tests of the workspace.

--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -254,6 +254,9 @@
                 self.on_transaction_reply(number, reply, effects)
             }
             StatePurpose::Refresh(what, key) => self.on_refresh_reply(what, key, reply, effects),
+            StatePurpose::ConfirmRefresh { record, key, item } => {
+                self.on_refresh_confirmation(record, key, item, reply, effects)
+            }
             StatePurpose::Resync(reread) => self.on_reread_reply(reread, reply, effects),
             StatePurpose::FinalRecord(id) => self.on_final_record_reply(&id, reply, effects),
             StatePurpose::OverflowRecord(id, number) => {
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -10,6 +10,7 @@
 mod pending_transactions;
 mod queueing;
 mod record_write;
+mod refresh;
 mod saved;
 mod transaction;
 mod write_queue;
@@ -170,10 +171,7 @@
                 self.transactions.retry_later(number, now);
             }
             StateReply::Conflict { failed } if failed.iter().any(|key| key == LEADER_KEY) => {
-                let event = NodeEvent::SteppedDown {
-                    reason: "a transaction was fenced",
-                };
-                effects.emit(event);
+                step_down(effects);
             }
             StateReply::Conflict { failed } => {
                 if let Some(transaction) = self.transactions.remove(number) {
@@ -219,3 +217,10 @@
         !self.transactions.is_empty()
     }
 }
+
+/// Gives up leadership after a transaction that found the leader key changed.
+fn step_down(effects: &mut Effects) {
+    effects.emit(NodeEvent::SteppedDown {
+        reason: "a transaction was fenced",
+    });
+}
--- a/crates/control/src/leader/tests.rs
+++ b/crates/control/src/leader/tests.rs
@@ -2,6 +2,7 @@
 
 mod job_watch;
 mod page_writes;
+mod rereads;
 mod start_proofs;
 
 use super::loading::Loading;
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -226,6 +226,15 @@
     PendingTransaction(u64),
     /// Rereads a record whose version is uncertain, with its key.
     Refresh(RecordId, String),
+    /// Confirms that this leader still leads and that a record has not changed since it was reread.
+    ConfirmRefresh {
+        /// The record.
+        record: RecordId,
+        /// Its key.
+        key: String,
+        /// What was read; `None` if the key does not exist.
+        item: Option<Item>,
+    },
     /// Reads a page of all open jobs, after the watch fell behind.
     Resync(Reread),
     /// Reads the final record of a job on which other jobs depend.
