A record that is reported twice keeps the machine types read so far

A job whose list of machine types does not fit into one record is known once its overflow records are read, one after the other. If its record was reported again meanwhile, the types read so far were dropped and the reading went on behind them, so that the job was placed by a part of its list and might never have found a machine. A reread of all jobs could do that before; since starts are preceded by reads of changed jobs, the watch reports the same change again more often. Found by looking for what these two reports do twice; nobody has seen it.

Now what has been read is kept: an open job's record changes only when the job is cancelled, and a cancelled job needs no overflow records.

Before: a_record_that_is_reported_twice_does_not_restart_the_reading_of_its_overflow_records FAILED, left: Some(["g2"]), right: Some(["g1", "g2"]). Now it passes, and all tests of the control crate.

--- a/crates/control/src/leader/dependencies/lookups.rs
+++ b/crates/control/src/leader/dependencies/lookups.rs
@@ -5,6 +5,7 @@
 use crate::leader::Leader;
 use crate::requests::{Priority, StateOp, StatePurpose, StateReply};
 use constants::{FINAL_RECORD_LOOKUPS_MAX, FINAL_RECORD_LOOKUP_RETRY_MS};
+use std::collections::hash_map::Entry;
 use std::collections::{HashMap, HashSet, VecDeque};
 use wire::records::{final_record_key, job_overflow_key, JobOutcome, JobOverflowRecord, JobRecord};
 
@@ -99,7 +100,8 @@
         self.process_dependencies(effects);
     }
 
-    /// Reads the overflow records of a job. The job becomes known only once all of them are read.
+    /// Reads the overflow records of a job, unless they are being read already. The job becomes known only once all of
+    /// them are read.
     pub(in crate::leader) fn read_overflow_records(
         &mut self,
         id: &str,
@@ -107,11 +109,14 @@
         version: u64,
         effects: &mut Effects,
     ) {
+        // The record may be reported several times. What has been read of its overflow records is kept: an open job's
+        // record changes only when the job is cancelled.
         let partial_jobs = &mut self.dependencies.lookups.partial_jobs;
-        let known = partial_jobs.insert(id.to_string(), PartialJob { record, version });
-        if known.is_none() {
-            self.request_overflow_record(id.to_string(), 1, effects);
-        }
+        let Entry::Vacant(entry) = partial_jobs.entry(id.to_string()) else {
+            return;
+        };
+        entry.insert(PartialJob { record, version });
+        self.request_overflow_record(id.to_string(), 1, effects);
     }
 
     /// Handles the reply to a request for an overflow record of a job.
--- a/crates/control/src/leader/tests/job_watch.rs
+++ b/crates/control/src/leader/tests/job_watch.rs
@@ -3,8 +3,8 @@
 use super::{at, job_record, leader};
 use crate::effects::Effects;
 use crate::requests::{StateOp, StatePurpose, StateReply, StateTag};
-use wire::records::job_key;
-use wire::state::{Item, Page};
+use wire::records::{job_key, JobOverflowRecord, JobRecord};
+use wire::state::{to_value, Change, Changes, Item, Page};
 
 /// Guards against a missed cancellation: while all jobs are read again page by page, a job on the first page may be
 /// cancelled before the last page arrives. A watch from the last page's revision would never report it.
@@ -58,3 +58,44 @@
     // The information is as old as the start of the reading.
     assert_eq!(leader.cancellations_known_until(), Some(5_000));
 }
+
+/// Guards against a job that loses machine types: its record was reported again, by the watch after a read of changed
+/// jobs, while the records with the rest of its types were being read.
+#[test]
+fn a_record_that_is_reported_twice_does_not_restart_the_reading_of_its_overflow_records() {
+    let mut leader = leader();
+    leader.job_watch.in_flight = true;
+    let record = JobRecord {
+        overflow_record_count: 2,
+        ..job_record()
+    };
+    let reported = |version| {
+        StateReply::Changes(Changes {
+            revision: version,
+            changes: vec![Change {
+                put_key: Some(job_key("run-1")),
+                deleted_key: None,
+                value: Some(to_value(&record)),
+                version,
+            }],
+        })
+    };
+    let overflow = |name: &str| {
+        StateReply::Item(Item {
+            key: String::new(),
+            value: to_value(&JobOverflowRecord {
+                machine_types: vec![name.to_string()],
+            }),
+            version: 9,
+            lease: None,
+        })
+    };
+    let read = |number| StatePurpose::OverflowRecord("run-1".into(), number);
+    let purpose = StatePurpose::ReadChanges(1_000);
+    leader.handle_state_reply(purpose, reported(9), &mut at(1_010));
+    leader.handle_state_reply(read(1), overflow("g1"), &mut at(1_020));
+    leader.handle_state_reply(StatePurpose::Watch(900), reported(9), &mut at(1_030));
+    leader.handle_state_reply(read(2), overflow("g2"), &mut at(1_040));
+    let types = leader.jobs["run-1"].spec.machine_types.clone();
+    assert_eq!(types, Some(vec!["g1".to_string(), "g2".to_string()]));
+}
