Date what the leader knows by the time at which a start is sent, not by the turn's beginning

The proof that a job is not cancelled may be 400 ms old when its task is started. Its age was taken at the beginning of the turn: the main loop delivered requests and replies with one reading of the clock, and a turn may include a scheduling round of 150 ms or, on 8% of a core, wait for the processor. A start could so leave well over half a second after the confirmation.

Now the main loop reads the clock for each input (peers' messages were delivered so already, out of order with the others), and what the leader may do is determined by the turn's beginning plus what the stopwatch says has passed since.

Before: a_start_at_the_end_of_a_long_turn_is_withheld FAILED (the task was started while turns took 0.5 s).

--- a/crates/control/src/leader/start_proofs.rs
+++ b/crates/control/src/leader/start_proofs.rs
@@ -42,8 +42,9 @@
 
 impl Leader {
     /// Whether a job is certainly not cancelled, except by a cancellation that was confirmed a moment ago.
-    pub(super) fn is_start_proven(&self, id: &str, authority: Authority, now: u64) -> bool {
-        now < self.uncancelled_until(id, authority) + START_PROOF_MAX_AGE_MS
+    pub(super) fn is_start_proven(&self, id: &str, authority: Authority) -> bool {
+        let expires_at = self.uncancelled_until(id, authority) + START_PROOF_MAX_AGE_MS;
+        authority.determined_at < expires_at
     }
 
     /// Time up to which no cancellation of an open job had been confirmed to a user.
--- a/crates/control/src/leader/tests/start_proofs.rs
+++ b/crates/control/src/leader/tests/start_proofs.rs
@@ -9,11 +9,14 @@
 use wire::records::{job_key, JobRecord};
 use wire::state::{to_value, Change, Changes};
 
-/// Authority of a leader that knows of no cancellation by the watch or its peers.
-const UNINFORMED: Authority = Authority {
-    is_active: true,
-    cancellations_known_until: 0,
-};
+/// Authority, at a time, of a leader that knows every cancellation up to `known_until` by the watch or its peers.
+fn authority_at(determined_at: u64, known_until: u64) -> Authority {
+    Authority {
+        determined_at,
+        is_active: true,
+        cancellations_known_until: known_until,
+    }
+}
 
 /// Revision up to which the leader has read the open jobs.
 const KNOWN_REVISION: u64 = 10;
@@ -115,13 +118,9 @@
     leader.handle_state_reply(purpose, unchanged, &mut at(1_300));
     assert!(leader.has_new_decisions);
     assert_eq!(leader.cancellations_known_until(), Some(1_000));
-    let informed = Authority {
-        cancellations_known_until: 1_000,
-        ..UNINFORMED
-    };
     let expires_at = 1_000 + START_PROOF_MAX_AGE_MS;
-    assert!(leader.is_start_proven("run-1", informed, expires_at - 1));
-    assert!(!leader.is_start_proven("run-1", informed, expires_at));
+    assert!(leader.is_start_proven("run-1", authority_at(expires_at - 1, 1_000)));
+    assert!(!leader.is_start_proven("run-1", authority_at(expires_at, 1_000)));
 }
 
 /// The read and the watch both report a change. The second report changes nothing, also once the job is archived.
@@ -158,10 +157,11 @@
     let mut effects = at(repeated_at);
     leader.flush(&mut effects);
     assert_eq!(transaction_number(&effects), number);
-    assert!(!leader.is_start_proven("run-1", UNINFORMED, repeated_at));
+    assert!(!leader.is_start_proven("run-1", authority_at(repeated_at, 0)));
     let committed = StateReply::Committed { version: 12 };
     leader.on_transaction_reply(number, committed, &mut at(repeated_at + 10));
     assert!(leader.jobs["run-1"].is_startable(0));
-    assert_eq!(leader.uncancelled_until("run-1", UNINFORMED), 1_000);
-    assert!(!leader.is_start_proven("run-1", UNINFORMED, repeated_at + 10));
+    let authority = authority_at(repeated_at + 10, 0);
+    assert_eq!(leader.uncancelled_until("run-1", authority), 1_000);
+    assert!(!leader.is_start_proven("run-1", authority));
 }
--- a/crates/control/src/leader/worker_heartbeats/deferral.rs
+++ b/crates/control/src/leader/worker_heartbeats/deferral.rs
@@ -137,7 +137,7 @@
             let orders = Vec::new();
             return Some(HeartbeatResponse { term, orders });
         };
-        let starts = self.due_starts(machine, authority, now.mono);
+        let starts = self.due_starts(machine, authority);
         let deadline = self.answer_deadline(deferred, machine, &starts);
         if authority.is_active && now.mono < deadline {
             if starts.has_unproven {
@@ -171,7 +171,7 @@
         }
     }
 
-    fn due_starts(&self, machine: &Machine, authority: Authority, now: u64) -> DueStarts {
+    fn due_starts(&self, machine: &Machine, authority: Authority) -> DueStarts {
         let mut starts = DueStarts {
             has_unrecorded: false,
             has_unproven: false,
@@ -187,7 +187,7 @@
             }
             if !job.is_startable(*task) {
                 starts.has_unrecorded = true;
-            } else if self.is_start_proven(id, authority, now) {
+            } else if self.is_start_proven(id, authority) {
                 starts.has_startable = true;
             } else {
                 starts.has_unproven = machine.accepts_starts();
--- a/crates/control/src/leader/worker_heartbeats/orders.rs
+++ b/crates/control/src/leader/worker_heartbeats/orders.rs
@@ -74,14 +74,15 @@
             if orders.len() >= ORDERS_PER_ANSWER_MAX {
                 break;
             }
-            if self.is_start_proven(&id, authority, now) {
+            if self.is_start_proven(&id, authority) {
                 orders.extend(self.start_order(machine, &id, task, authority, now));
             } else {
                 withheld_tasks += 1;
             }
         }
         if withheld_tasks > 0 {
-            let known_ago_ms = now.saturating_sub(authority.cancellations_known_until);
+            let known_until = authority.cancellations_known_until;
+            let known_ago_ms = authority.determined_at.saturating_sub(known_until);
             log::info!(
                 "event=starts_withheld machine={machine} tasks={withheld_tasks} known_ago_ms={known_ago_ms}"
             );
@@ -107,7 +108,8 @@
         authority: Authority,
         now: u64,
     ) -> Option<Order> {
-        let known_ago_ms = now.saturating_sub(self.uncancelled_until(id, authority));
+        let known_until = self.uncancelled_until(id, authority);
+        let known_ago_ms = authority.determined_at.saturating_sub(known_until);
         let machine = self.machines.get(name)?;
         let assignment = self.jobs.get_mut(id)?.assignment_mut(task)?;
         let latency_ms = now.saturating_sub(assignment.decided_at);
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -74,6 +74,8 @@
     has_socket_shortage: bool,
     /// Time of the last input or tick.
     last_turn_at: Now,
+    /// Reading of the stopwatch when the current turn began, in microseconds.
+    turn_started_us: u64,
     /// Time of the last tick, on the monotonic clock.
     last_tick_at: u64,
 }
@@ -108,26 +110,30 @@
 
     /// Handles an input.
     pub fn handle(&mut self, now: Now, input: Input) {
-        let started_us = self.start_turn();
+        self.start_turn();
         self.on_input(now, input);
-        self.end_turn(started_us);
+        self.end_turn();
     }
 
     /// Performs the work that is due by the clock.
     pub fn tick(&mut self, now: Now) {
-        let started_us = self.start_turn();
+        self.start_turn();
         self.on_tick(now);
-        self.end_turn(started_us);
+        self.end_turn();
     }
 
-    /// Starts to measure a turn if partitions are enabled. Nothing else uses the measurements.
-    fn start_turn(&self) -> Option<u64> {
-        self.partitions.as_ref().map(|_| (self.stopwatch)())
+    fn start_turn(&mut self) {
+        self.turn_started_us = (self.stopwatch)();
     }
 
-    fn end_turn(&mut self, started_us: Option<u64>) {
-        if let (Some(partitions), Some(started_us)) = (&mut self.partitions, started_us) {
-            let took_us = (self.stopwatch)().saturating_sub(started_us);
+    /// Returns the microseconds since the turn began.
+    fn turn_duration_us(&self) -> u64 {
+        (self.stopwatch)().saturating_sub(self.turn_started_us)
+    }
+
+    fn end_turn(&mut self) {
+        let took_us = self.turn_duration_us();
+        if let Some(partitions) = &mut self.partitions {
             partitions.load_meter().add_turn(took_us);
         }
     }
--- a/crates/control/src/node/answering_rights.rs
+++ b/crates/control/src/node/answering_rights.rs
@@ -5,6 +5,9 @@
 use crate::leader::Authority;
 use constants::{CANCELLATION_KNOWLEDGE_MAX_AGE_MS, ISOLATION_NOT_READY_MS};
 
+/// Microseconds per millisecond.
+const US_PER_MS: u64 = 1_000;
+
 impl Node {
     /// Returns whether this node has for a while reached neither the state service nor a peer
     /// through which it could serve users.
@@ -42,9 +45,12 @@
             && self.are_cancellations_known_within(CANCELLATION_KNOWLEDGE_MAX_AGE_MS, now)
     }
 
-    /// Returns what the leader may do now.
-    pub(super) fn leader_authority(&self, now: u64) -> Authority {
+    /// Returns what the leader may do now, in a turn that began at `turn_start`. The turn may have included a
+    /// scheduling round since.
+    pub(super) fn leader_authority(&self, turn_start: u64) -> Authority {
+        let now = turn_start + self.turn_duration_us() / US_PER_MS;
         Authority {
+            determined_at: now,
             is_active: self.is_active(now),
             cancellations_known_until: self.cancellations_known_until().unwrap_or(0),
         }
--- a/crates/control/src/node/construction.rs
+++ b/crates/control/src/node/construction.rs
@@ -54,6 +54,7 @@
             forwarded_requests: ForwardedRequests::new(number_base),
             has_socket_shortage: false,
             last_turn_at: now,
+            turn_started_us: 0,
             last_tick_at: 0,
             operator,
             stopwatch,
--- a/crates/control/tests/cancellations.rs
+++ b/crates/control/tests/cancellations.rs
@@ -5,6 +5,7 @@
 
 use common::*;
 use fakes::{array_job, StateServiceLimits, World};
+use std::sync::atomic::{AtomicU64, Ordering};
 use wire::users::Phase;
 
 /// Time in which the tasks of a cancelled job must have ended (`cancel_s`), with a margin.
@@ -281,6 +282,41 @@
     assert!(late_starts.is_empty(), "{late_starts:#?}");
 }
 
+/// Microseconds that pass between two readings of [`stopwatch`].
+static STOPWATCH_STEP_US: AtomicU64 = AtomicU64::new(0);
+static STOPWATCH_US: AtomicU64 = AtomicU64::new(0);
+
+/// A stopwatch by which each turn of a node takes at least [`STOPWATCH_STEP_US`].
+fn stopwatch() -> u64 {
+    let step_us = STOPWATCH_STEP_US.load(Ordering::Relaxed);
+    STOPWATCH_US.fetch_add(step_us, Ordering::Relaxed)
+}
+
+/// Guards against starts whose proof was recent when the turn began: a turn with a scheduling round takes long on a busy
+/// controller.
+#[test]
+fn a_start_at_the_end_of_a_long_turn_is_withheld() {
+    let mut w = World::new(3, |node| settings(node, 3, 0.0));
+    w.stopwatch = stopwatch;
+    for node in 0..3 {
+        w.crash(node);
+        w.start(node);
+    }
+    w.add_machine("vm-000000", "a");
+    assert!(w.run_until(6_000, |w| w.leader().is_some()));
+    let leader = w.leader().expect("leader");
+    let other_node = follower(&w);
+    w.set_crowded(leader, true);
+    w.run_for(4_500);
+    assert!(record_assignment_without_start(&mut w, other_node, "run-1"));
+    STOPWATCH_STEP_US.store(500_000, Ordering::Relaxed);
+    w.run_for(5_000);
+    assert!(w.placed_tasks("run-1").is_empty());
+    STOPWATCH_STEP_US.store(0, Ordering::Relaxed);
+    assert!(w.run_until(4_000, |w| w.placed_tasks("run-1").len() == 1));
+    assert_no_violations(&w);
+}
+
 /// A leader without its peers proves by reads of the state service that jobs are not cancelled. It goes on starting
 /// tasks, also where a start waits for the worker's next report, within the rate limit of the state service.
 #[test]
--- a/crates/vetchmount/src/daemon.rs
+++ b/crates/vetchmount/src/daemon.rs
@@ -122,13 +122,14 @@
         self.expire_calls(now.mono);
         self.node
             .set_socket_shortage(self.http_server.has_socket_shortage(now.mono));
-        self.deliver_inputs(now);
-        if now.mono >= self.node.next_wake() {
-            self.node.tick(now);
+        self.deliver_inputs();
+        let tick_time = self.now();
+        if tick_time.mono >= self.node.next_wake() {
+            self.node.tick(tick_time);
         }
         self.peers
-            .tick(&self.poller, &mut self.poller_keys, now.mono);
-        self.deliver_inputs(now);
+            .tick(&self.poller, &mut self.poller_keys, tick_time.mono);
+        self.deliver_inputs();
         self.deliver_worker_reports();
         if self.stop_requested.load(Ordering::Relaxed) && self.stop_node() {
             return LoopControl::Exit;
--- a/crates/vetchmount/src/daemon/node_inputs.rs
+++ b/crates/vetchmount/src/daemon/node_inputs.rs
@@ -3,43 +3,46 @@
 use super::Daemon;
 use crate::http_server::ReceivedRequest;
 use constants::REPORTS_TURN_BUDGET_MS;
-use control::{Input, Now};
+use control::Input;
 
 impl Daemon {
     /// Delivers all pending inputs to the node and executes its outputs, until no input is pending. Workers' reports
     /// are set aside for [`Daemon::deliver_worker_reports`].
-    pub(super) fn deliver_inputs(&mut self, now: Now) {
+    ///
+    /// Each input is delivered with the time at which it is. What the leader may do depends on how old its knowledge
+    /// is, and a turn can take long: by the time at its start, outdated knowledge would still count.
+    pub(super) fn deliver_inputs(&mut self) {
         loop {
-            self.deliver_requests(now);
-            self.deliver_call_outcomes(now);
-            self.execute_outputs(now);
+            self.deliver_requests();
+            self.deliver_call_outcomes();
+            self.execute_outputs(self.now());
             if self.pending.is_empty() {
                 return;
             }
         }
     }
 
-    fn deliver_requests(&mut self, now: Now) {
+    fn deliver_requests(&mut self) {
         for request in std::mem::take(&mut self.pending.requests) {
             if request.is_worker_report {
                 self.worker_reports.push_back(request);
             } else {
-                self.deliver_request(now, request);
+                self.deliver_request(request);
             }
         }
     }
 
-    fn deliver_call_outcomes(&mut self, now: Now) {
+    fn deliver_call_outcomes(&mut self) {
         for outcome in std::mem::take(&mut self.pending.call_outcomes) {
             let input = Input::Reply {
                 call: outcome.call,
                 result: outcome.result,
             };
-            self.node.handle(now, input);
+            self.node.handle(self.now(), input);
         }
     }
 
-    fn deliver_request(&mut self, now: Now, received: ReceivedRequest) {
+    fn deliver_request(&mut self, received: ReceivedRequest) {
         let ReceivedRequest { id, request, .. } = received;
         let input = Input::Request {
             id,
@@ -47,7 +50,7 @@
             target: request.target,
             body: request.body,
         };
-        self.node.handle(now, input);
+        self.node.handle(self.now(), input);
     }
 
     /// Delivers workers' reports to the node for a limited time. After a change of leader all workers report at once,
@@ -55,13 +58,12 @@
     pub(super) fn deliver_worker_reports(&mut self) {
         let until = self.now().mono + REPORTS_TURN_BUDGET_MS;
         while let Some(report) = self.worker_reports.pop_front() {
-            let now = self.now();
             // The worker may have closed its connection since the report arrived.
             if self.http_server.is_awaiting_response(report.id) {
-                self.deliver_request(now, report);
-                self.deliver_inputs(now);
+                self.deliver_request(report);
+                self.deliver_inputs();
             }
-            if now.mono >= until {
+            if self.now().mono >= until {
                 return;
             }
         }
@@ -69,10 +71,9 @@
 
     /// Asks the node to stop. Returns whether it has finished its work.
     pub(super) fn stop_node(&mut self) -> bool {
-        let now = self.now();
-        self.node.handle(now, Input::Stop);
-        self.deliver_inputs(now);
-        let is_stopped = self.node.is_stopped(now.mono);
+        self.node.handle(self.now(), Input::Stop);
+        self.deliver_inputs();
+        let is_stopped = self.node.is_stopped(self.now().mono);
         if is_stopped {
             log::info!("event=stopped");
         }
