One name for overflow records, outcomes and the monotonic clock

What does not fit into a job's record was "overflow", "further" or "extension"; a job's end "outcome" or "final phase"; the clock "monotonic" or "steady". The leader's tests of reported records share one fixture. No name that leaves the process changes, and no behaviour.

--- a/crates/constants/src/records.rs
+++ b/crates/constants/src/records.rs
@@ -14,9 +14,9 @@
 /// Share of the value size limit that a page of dense chunks may use. Their sizes are estimated,
 /// not counted.
 pub const DENSE_PAGE_VALUE_SHARE: f64 = 0.94;
-/// Extension records of an open job at most, for what does not fit into its own record. All are
+/// Overflow records of an open job at most, for what does not fit into its own record. All are
 /// written in one transaction.
-pub const EXTENSION_RECORDS_MAX: usize = 2;
+pub const OVERFLOW_RECORDS_MAX: usize = 2;
 /// Jobs of a pipeline that are cancelled in memory per turn, so that a cascade of any size leaves
 /// time for other work.
 pub const CASCADED_CANCELLATIONS_PER_TURN_MAX: usize = 64;
--- a/crates/constants/src/users.rs
+++ b/crates/constants/src/users.rs
@@ -23,5 +23,5 @@
 /// Status queries of users in flight at a time, and as many submissions and cancellations. More
 /// are refused at once.
 pub const USER_REQUESTS_IN_FLIGHT_MAX: usize = 256;
-/// Final phases of jobs kept in memory (an id and a letter each).
-pub const FINAL_PHASE_CACHE_ENTRIES: usize = 20_000;
+/// Outcomes of ended jobs kept in memory (an id and a letter each).
+pub const OUTCOME_CACHE_ENTRIES: usize = 20_000;
--- a/crates/constants/src/workers.rs
+++ b/crates/constants/src/workers.rs
@@ -17,7 +17,7 @@
 /// Milliseconds for which a worker waits for the answer to a report. It drops a `launch` that was
 /// sent longer ago.
 pub const WORKER_REPORT_TIMEOUT_MS: u64 = 4_000;
-/// Factor for the drift between two steady clocks (0.05% each way, doubled as a safety margin).
+/// Factor for the drift between two monotonic clocks (0.05% each way, doubled as a safety margin).
 pub const CLOCK_DRIFT_FACTOR: f64 = 1.002;
 /// Milliseconds added to every wait for the expiry of another machine's lease.
 pub const LEASE_EXPIRY_MARGIN_MS: u64 = 1_000;
--- a/crates/control/src/gateway/job_cache.rs
+++ b/crates/control/src/gateway/job_cache.rs
@@ -5,7 +5,7 @@
 //! the user's request has found that it is still the stored version.
 
 use crate::recent_map::RecentMap;
-use constants::{FINAL_PHASE_CACHE_ENTRIES, JOB_UPDATES_PER_MESSAGE_MAX, VERSION_CACHE_ENTRIES};
+use constants::{JOB_UPDATES_PER_MESSAGE_MAX, OUTCOME_CACHE_ENTRIES, VERSION_CACHE_ENTRIES};
 use std::collections::HashMap;
 use std::rc::Rc;
 use wire::peers::JobUpdate;
@@ -86,8 +86,8 @@
     /// Creates an empty cache.
     pub(super) fn new() -> Self {
         JobCache {
-            outcomes: RecentMap::new(FINAL_PHASE_CACHE_ENTRIES),
-            cancelled: RecentMap::new(FINAL_PHASE_CACHE_ENTRIES),
+            outcomes: RecentMap::new(OUTCOME_CACHE_ENTRIES),
+            cancelled: RecentMap::new(OUTCOME_CACHE_ENTRIES),
             counts: HashMap::new(),
             versions: RecentMap::new(VERSION_CACHE_ENTRIES),
         }
--- a/crates/control/src/gateway/job_records.rs
+++ b/crates/control/src/gateway/job_records.rs
@@ -2,7 +2,7 @@
 
 use super::rejection::Rejection;
 use crate::settings::{EffectiveLimits, StateLimits};
-use constants::EXTENSION_RECORDS_MAX;
+use constants::OVERFLOW_RECORDS_MAX;
 use wire::records::{job_key, job_overflow_key, JobOverflowRecord, JobRecord};
 use wire::state::Write;
 use wire::users::Submission;
@@ -92,7 +92,7 @@
             Vec::new()
         };
         let max_overflow_records =
-            EXTENSION_RECORDS_MAX.min(limits.txn_ops.saturating_sub(NON_OVERFLOW_WRITES));
+            OVERFLOW_RECORDS_MAX.min(limits.txn_ops.saturating_sub(NON_OVERFLOW_WRITES));
         let main_bytes = wire::json_size(&record) + CANCELLATION_MARK_BYTES;
         if overflow.len() > max_overflow_records || main_bytes > limits.value_bytes {
             return Err(Rejection::TooLong {
--- a/crates/control/src/leader/dependencies/lookups.rs
+++ b/crates/control/src/leader/dependencies/lookups.rs
@@ -15,7 +15,7 @@
     version: u64,
 }
 
-/// A pending read of a job's final record. Times are of the steady clock, in milliseconds.
+/// A pending read of a job's final record. Times are of the monotonic clock, in milliseconds.
 struct Lookup {
     not_before: u64,
     id: String,
--- a/crates/control/src/leader/job_watch.rs
+++ b/crates/control/src/leader/job_watch.rs
@@ -10,7 +10,7 @@
 use wire::records::{JobRecord, JOB_PREFIX};
 use wire::state::{Change, Changes, Page};
 
-/// State of the watch. Times are of the steady clock, in milliseconds.
+/// State of the watch. Times are of the monotonic clock, in milliseconds.
 #[derive(Debug, Clone, Default)]
 pub(super) struct JobWatch {
     /// Revision from which the next watch continues; 0 while nothing has been read.
--- a/crates/control/src/leader/loading.rs
+++ b/crates/control/src/leader/loading.rs
@@ -191,7 +191,7 @@
         if let Some(job) = self
             .jobs
             .get_mut(id)
-            .filter(|job| job.further_record_count > 0)
+            .filter(|job| job.overflow_record_count > 0)
         {
             let types = job.spec.machine_types.get_or_insert_with(Vec::new);
             types.extend(record.machine_types);
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -43,7 +43,7 @@
 };
 use crate::settings::{Operator, Settings};
 use crate::token_bucket::TokenBucket;
-use constants::FINAL_PHASE_CACHE_ENTRIES;
+use constants::OUTCOME_CACHE_ENTRIES;
 use job_watch::JobWatch;
 use loading::Loading;
 use model::{BootTimes, Job, Machine, RecordCell};
@@ -185,8 +185,8 @@
             job_watch: JobWatch::default(),
             change_read: ChangeRead::default(),
             dependencies: dependencies::Dependencies::default(),
-            archived_jobs: RecentMap::new(FINAL_PHASE_CACHE_ENTRIES),
-            cancellation_notices: RecentMap::new(FINAL_PHASE_CACHE_ENTRIES),
+            archived_jobs: RecentMap::new(OUTCOME_CACHE_ENTRIES),
+            cancellation_notices: RecentMap::new(OUTCOME_CACHE_ENTRIES),
             job_update_cursor: String::new(),
             machines: BTreeMap::new(),
             departed_machines: HashMap::new(),
--- a/crates/control/src/leader/model/job.rs
+++ b/crates/control/src/leader/model/job.rs
@@ -77,8 +77,8 @@
     pub first_run_at: Option<u64>,
     /// Machines reserved for this gang.
     pub reserved_machines: Vec<String>,
-    /// Number of further records that hold the rest of the submission.
-    pub further_record_count: u32,
+    /// Number of overflow records that hold the rest of the submission.
+    pub overflow_record_count: u32,
 }
 
 impl Job {
@@ -110,7 +110,7 @@
             backoff_until: 0,
             first_run_at: None,
             reserved_machines: Vec::new(),
-            further_record_count: record.overflow_record_count,
+            overflow_record_count: record.overflow_record_count,
         }
     }
 
--- a/crates/control/src/leader/store/pending_transactions.rs
+++ b/crates/control/src/leader/store/pending_transactions.rs
@@ -7,7 +7,7 @@
 
 /// A transaction that is to be resent.
 struct Retry {
-    /// Earliest time to resend it, in milliseconds of the steady clock.
+    /// Earliest time to resend it, in milliseconds of the monotonic clock.
     at: u64,
     /// Number of the transaction.
     number: u64,
--- a/crates/control/src/leader/store/record_write.rs
+++ b/crates/control/src/leader/store/record_write.rs
@@ -100,7 +100,7 @@
             Write::put(final_record_key(id), &outcome),
         ];
         writes.extend(
-            (1..=job.further_record_count)
+            (1..=job.overflow_record_count)
                 .map(|number| Write::delete(job_overflow_key(id, number))),
         );
         Some(RecordWrite {
--- a/crates/control/src/leader/tests.rs
+++ b/crates/control/src/leader/tests.rs
@@ -8,8 +8,10 @@
 use super::loading::Loading;
 use super::Leader;
 use crate::effects::{Effects, Now};
+use crate::requests::StateReply;
 use crate::settings::{Operator, Settings};
-use wire::records::JobRecord;
+use wire::records::{job_key, JobRecord};
+use wire::state::{to_value, Change, Changes};
 
 const SETTINGS: &str = r#"
 label = "n0"
@@ -61,3 +63,16 @@
 fn job_record() -> JobRecord {
     JobRecord::new(serde_json::from_str(SUBMISSION).expect("submission"), 0)
 }
+
+/// The reply to a watch or a read of changed jobs that reports the record of `run-1` with this version.
+fn reported_record(record: &JobRecord, version: u64) -> StateReply {
+    StateReply::Changes(Changes {
+        revision: version,
+        changes: vec![Change {
+            put_key: Some(job_key("run-1")),
+            deleted_key: None,
+            value: Some(to_value(record)),
+            version,
+        }],
+    })
+}
--- a/crates/control/src/leader/tests/job_watch.rs
+++ b/crates/control/src/leader/tests/job_watch.rs
@@ -1,10 +1,10 @@
 //! Tests of the watch of open jobs.
 
-use super::{at, job_record, leader};
+use super::{at, job_record, leader, reported_record};
 use crate::effects::Effects;
 use crate::requests::{StateOp, StatePurpose, StateReply, StateTag};
 use wire::records::{job_key, JobOverflowRecord, JobRecord};
-use wire::state::{to_value, Change, Changes, Item, Page};
+use wire::state::{to_value, Item, Page};
 
 /// Guards against a missed cancellation: while all jobs are read again page by page, a job on the first page may be
 /// cancelled before the last page arrives. A watch from the last page's revision would never report it.
@@ -69,17 +69,6 @@
         overflow_record_count: 2,
         ..job_record()
     };
-    let reported = |version| {
-        StateReply::Changes(Changes {
-            revision: version,
-            changes: vec![Change {
-                put_key: Some(job_key("run-1")),
-                deleted_key: None,
-                value: Some(to_value(&record)),
-                version,
-            }],
-        })
-    };
     let overflow = |name: &str| {
         StateReply::Item(Item {
             key: String::new(),
@@ -92,9 +81,13 @@
     };
     let read = |number| StatePurpose::OverflowRecord("run-1".into(), number);
     let purpose = StatePurpose::ReadChanges(1_000);
-    leader.handle_state_reply(purpose, reported(9), &mut at(1_010));
+    leader.handle_state_reply(purpose, reported_record(&record, 9), &mut at(1_010));
     leader.handle_state_reply(read(1), overflow("g1"), &mut at(1_020));
-    leader.handle_state_reply(StatePurpose::Watch(900), reported(9), &mut at(1_030));
+    leader.handle_state_reply(
+        StatePurpose::Watch(900),
+        reported_record(&record, 9),
+        &mut at(1_030),
+    );
     leader.handle_state_reply(read(2), overflow("g2"), &mut at(1_040));
     let types = leader.jobs["run-1"].spec.machine_types.clone();
     assert_eq!(types, Some(vec!["g1".to_string(), "g2".to_string()]));
--- a/crates/control/src/leader/tests/start_proofs.rs
+++ b/crates/control/src/leader/tests/start_proofs.rs
@@ -1,13 +1,13 @@
 //! Tests of the proofs that a job is not cancelled, without which none of its tasks is started.
 
-use super::{at, job_record, leader};
+use super::{at, job_record, leader, reported_record};
 use crate::effects::Effects;
 use crate::leader::model::Job;
 use crate::leader::{Authority, Leader};
 use crate::requests::{RecordId, StateOp, StatePurpose, StateReply, StateTag};
 use constants::{START_PROOF_MAX_AGE_MS, STATE_RETRY_MS};
-use wire::records::{job_key, JobRecord};
-use wire::state::{to_value, Change, Changes};
+use wire::records::JobRecord;
+use wire::state::Changes;
 
 /// Authority, at a time, of a leader that knows every cancellation up to `known_until` by the watch or its peers.
 fn authority_at(determined_at: u64, known_until: u64) -> Authority {
@@ -67,15 +67,7 @@
         aborted: true,
         ..job_record()
     };
-    StateReply::Changes(Changes {
-        revision: version,
-        changes: vec![Change {
-            put_key: Some(job_key("run-1")),
-            deleted_key: None,
-            value: Some(to_value(&record)),
-            version,
-        }],
-    })
+    reported_record(&record, version)
 }
 
 /// Guards against one read for each waiting start, which would use up the request rate of the state service.
--- a/crates/control/tests/upgrade.rs
+++ b/crates/control/tests/upgrade.rs
@@ -463,7 +463,7 @@
         .is_empty()));
     assert!(
         world.state_service.keys(JOB_OVERFLOW_PREFIX).is_empty(),
-        "the further records are deleted with their job"
+        "the overflow records are deleted with their job"
     );
     // A submission above the bound is refused at once, and nothing of it is stored.
     let (status, body) =
