--- a/review/standins-2/lib.rs
+++ b/review/standins-2/lib.rs
@@ -1379,6 +1379,15 @@
 
 impl Controllers {
     pub fn new(count: usize) -> Self {
+        let processes: Arc<Mutex<Vec<Option<Child>>>> = Arc::new(Mutex::new((0..count).map(|_| None).collect()));
+        // A stand-in that panics ends the run: the case could not run.
+        let ended = Arc::clone(&processes);
+        std::panic::set_hook(Box::new(move |why| {
+            eprintln!("{why}");
+            note(&format!("could not run: {why}"));
+            end_all(&ended);
+            std::process::exit(2);
+        }));
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("temporary folder");
         let deploy = std::fs::read_to_string("deploy/service.toml").expect("deploy/service.toml");
@@ -1388,7 +1397,7 @@
             labels: (0..count).map(|i| format!("steading-{i}")).collect(),
             public: (0..count).map(|_| free_addr()).collect(),
             back: (0..count).map(|_| free_addr()).collect(),
-            processes: Arc::new(Mutex::new((0..count).map(|_| None).collect())),
+            processes,
             starts: AtomicU64::new(0),
             run: run.split(' ').map(str::to_string).collect(),
         }
