Simulated cluster: scenarios set machine types, and the cloud can fail

Cause: the simulated cloud listed one machine type in two zones, always.

Change: World::machine_types, World::cloud_down, and a type for each simulated worker. Defaults as before.

--- a/crates/fakes/src/checks.rs
+++ b/crates/fakes/src/checks.rs
@@ -1,7 +1,7 @@
 //! Checks of the rules at every step, and of waiting tasks once all faults have ended.
 
 use crate::jobs::job_of;
-use crate::{FakeWorker, PlacedTask, World, MACHINE_RESOURCES, MACHINE_TYPE};
+use crate::{FakeWorker, PlacedTask, World, MACHINE_RESOURCES};
 use std::collections::{BTreeMap, BTreeSet};
 use wire::records::{final_record_key, JobOutcome};
 use wire::users::Submission;
@@ -22,7 +22,7 @@
         for worker in self.workers.values() {
             placed.extend(worker.active_tasks().map(|(task, attempt)| PlacedTask {
                 machine: &worker.name,
-                machine_type: MACHINE_TYPE,
+                machine_type: &worker.machine_type,
                 zone: &worker.zone,
                 spot: worker.spot,
                 task,
@@ -135,7 +135,7 @@
 impl FreeResources<'_> {
     /// Whether a task of the job can be placed on the machine.
     fn fits(&self, job: &Submission) -> bool {
-        let is_listed = |types: &Vec<String>| types.iter().any(|kind| kind == MACHINE_TYPE);
+        let is_listed = |types: &Vec<String>| types.contains(&self.worker.machine_type);
         self.cpus >= job.cpus
             && self.gpus >= job.gpus
             && self.mem_gb >= job.mem_gb
--- a/crates/fakes/src/cloud.rs
+++ b/crates/fakes/src/cloud.rs
@@ -22,7 +22,8 @@
         let up: Vec<String> = up.map(|(name, _)| name.clone()).collect();
         for name in up {
             if let Some((_, rent)) = self.booting.remove(&name) {
-                let worker = FakeWorker::new(&name, &rent.zone, rent.spot, now);
+                let mut worker = FakeWorker::new(&name, &rent.zone, rent.spot, now);
+                worker.machine_type = rent.machine_type;
                 self.workers.insert(name, worker);
             }
         }
@@ -30,9 +31,16 @@
 
     /// Executes a request to the cloud.
     pub(crate) fn serve_cloud(&mut self, method: &str, target: &str, body: &[u8]) -> Response {
+        if self.cloud_down {
+            let error = "trouble".to_string();
+            return (503, wire::encode(&ErrorResponse { error }));
+        }
         let path = target.split('?').next().unwrap_or_default();
         match (method, path) {
-            ("GET", "/machine_types") => (200, wire::encode(&machine_types())),
+            ("GET", "/machine_types") => {
+                let types = self.machine_types.clone();
+                (200, wire::encode(&MachineTypes { types }))
+            }
             ("POST", "/hosts") => match wire::decode::<RentalRequest>(body) {
                 Ok(rent) => self.rent(rent),
                 Err(_) => (400, vec![]),
@@ -83,10 +91,25 @@
     /// A page of the list of machines, ordered by name.
     fn list_machines(&mut self, target: &str) -> Response {
         let workers = self.workers.values();
-        let up = workers.map(|w| listed(&w.name, &w.zone, w.spot, MachinePhase::Running));
+        let up = workers.map(|w| ListedMachine {
+            name: w.name.clone(),
+            addr: Some(format!("{}:1", w.name)),
+            machine_type: w.machine_type.clone(),
+            zone: w.zone.clone(),
+            spot: w.spot,
+            phase: MachinePhase::Running,
+            age_s: 1.0,
+        });
         let booting = self.booting.iter();
-        let booting = booting
-            .map(|(name, (_, rent))| listed(name, &rent.zone, rent.spot, MachinePhase::Booting));
+        let booting = booting.map(|(name, (_, rent))| ListedMachine {
+            name: name.clone(),
+            addr: Some(format!("{name}:1")),
+            machine_type: rent.machine_type.clone(),
+            zone: rent.zone.clone(),
+            spot: rent.spot,
+            phase: MachinePhase::Booting,
+            age_s: 1.0,
+        });
         let mut machines: Vec<ListedMachine> = up.chain(booting).collect();
         let (from, limit) = list_range(target);
         machines.retain(|machine| machine.name.as_str() > from);
@@ -104,10 +127,11 @@
     }
 }
 
-fn machine_types() -> MachineTypes {
+/// A machine type with the resources of [`MACHINE_TYPE`] that is offered in these zones.
+pub fn machine_type(name: &str, zones: &[&str]) -> MachineType {
     let (cpus, gpus, mem_gb) = MACHINE_RESOURCES;
-    let types = vec![MachineType {
-        name: MACHINE_TYPE.into(),
+    MachineType {
+        name: name.into(),
         cpus,
         gpus,
         mem_gb,
@@ -116,21 +140,13 @@
         price_per_hour: 10.0,
         spot_price_per_hour: 4.0,
         boot_s: 2.0,
-        zones: vec!["a".into(), "b".into()],
-    }];
-    MachineTypes { types }
+        zones: zones.iter().map(|zone| zone.to_string()).collect(),
+    }
 }
 
-fn listed(name: &str, zone: &str, spot: bool, phase: MachinePhase) -> ListedMachine {
-    ListedMachine {
-        name: name.to_string(),
-        addr: Some(format!("{name}:1")),
-        machine_type: MACHINE_TYPE.into(),
-        zone: zone.to_string(),
-        spot,
-        phase,
-        age_s: 1.0,
-    }
+/// The machine types of a new world: [`MACHINE_TYPE`], in the zones `a` and `b`.
+pub(crate) fn default_machine_types() -> Vec<MachineType> {
+    vec![machine_type(MACHINE_TYPE, &["a", "b"])]
 }
 
 /// Name of the machine after which a page of the list begins, and maximum number of machines on the page.
--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -3,7 +3,7 @@
 use crate::jobs::{behaviour_of, job_of};
 use crate::{
     ConnectionFault, DuplicateTarget, FakeWorker, GangState, Party, World, HEARTBEAT_PATH,
-    MACHINE_TYPE, MESSAGE_DELAY_MS, MIN_DUPLICATE_DELAY_MS,
+    MESSAGE_DELAY_MS, MIN_DUPLICATE_DELAY_MS,
 };
 use control::Input;
 use std::collections::BTreeMap;
@@ -101,7 +101,8 @@
             if !is_report_due(worker, self.nodes.len(), now) {
                 continue;
             }
-            let report = worker.report(MACHINE_TYPE, now);
+            let machine_type = worker.machine_type.clone();
+            let report = worker.report(&machine_type, now);
             worker.report_in_flight = Some((now, worker.seq));
             worker.next_report_at = now + report_interval_ms;
             if has_connection_fault(worker.node, ConnectionFault::Refused) {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -15,6 +15,7 @@
 mod worker;
 mod world;
 
+pub use cloud::machine_type;
 pub use faults::{
     ConnectionFault, DuplicateTarget, Faults, Party, LATE_TXN_DELAY_MS, MIN_DUPLICATE_DELAY_MS,
 };
@@ -25,7 +26,7 @@
 pub use worker::{FakeTask, FakeWorker, GangState, TaskBehaviour};
 pub use world::World;
 
-/// Type of every simulated machine: 4 GPUs, 32 CPUs.
+/// Type of the simulated machines, unless a scenario sets another one: 4 GPUs, 32 CPUs.
 pub const MACHINE_TYPE: &str = "g4";
 /// Resources of a machine of type [`MACHINE_TYPE`]: CPUs, GPUs, memory in GB.
 pub const MACHINE_RESOURCES: (f64, f64, f64) = (32.0, 4.0, 256.0);
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -3,6 +3,7 @@
 mod orders;
 mod progress;
 
+use crate::MACHINE_TYPE;
 use std::collections::{BTreeMap, BTreeSet};
 use wire::workers::{EndCause, TaskPhase, TaskStatus, WorkerHeartbeat};
 
@@ -49,6 +50,8 @@
 pub struct FakeWorker {
     /// Name of the machine.
     pub name: String,
+    /// Type of the machine.
+    pub machine_type: String,
     /// Zone of the machine.
     pub zone: String,
     /// Whether the machine is a spot machine.
@@ -106,10 +109,11 @@
 }
 
 impl FakeWorker {
-    /// The worker of a machine that has just booted.
+    /// The worker of a machine of type [`MACHINE_TYPE`] that has just booted.
     pub fn new(name: &str, zone: &str, spot: bool, now: u64) -> Self {
         FakeWorker {
             name: name.to_string(),
+            machine_type: MACHINE_TYPE.to_string(),
             zone: zone.to_string(),
             spot,
             incarnation: 1,
--- a/crates/fakes/src/world.rs
+++ b/crates/fakes/src/world.rs
@@ -3,6 +3,7 @@
 mod nodes;
 mod time;
 
+use crate::cloud::default_machine_types;
 use crate::events::{Event, NodeSlot};
 use crate::jobs::job_of;
 use crate::turns::Turn;
@@ -10,7 +11,7 @@
 use control::{Operator, Settings};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::RangeInclusive;
-use wire::cloud::RentalRequest;
+use wire::cloud::{MachineType, RentalRequest};
 use wire::records::CLUSTER_LEVEL_KEY;
 use wire::users::Submission;
 use wire::workers::TaskPhase;
@@ -58,6 +59,10 @@
     pub node_wakeups: u64,
     /// Workers by machine name.
     pub workers: BTreeMap<String, FakeWorker>,
+    /// Machine types that the cloud lists.
+    pub machine_types: Vec<MachineType>,
+    /// Whether the cloud refuses all requests.
+    pub cloud_down: bool,
     /// Number of machines that can still be rented from the cloud.
     pub cloud_capacity: u32,
     pub(crate) machines_by_rental: BTreeMap<String, Vec<String>>,
@@ -130,6 +135,8 @@
             fail_lists: false,
             node_wakeups: 0,
             workers: BTreeMap::new(),
+            machine_types: default_machine_types(),
+            cloud_down: false,
             cloud_capacity: 0,
             machines_by_rental: BTreeMap::new(),
             booting: BTreeMap::new(),
@@ -212,6 +219,7 @@
     /// task may wait while a machine has enough free resources.
     pub fn end_faults(&mut self) {
         self.state_service_down = false;
+        self.cloud_down = false;
         self.refused_by_state_service.clear();
         self.isolated_from_peers.clear();
         self.isolated_from_workers.clear();
