Refuse a gang whose tasks can't run at the same time in the zones on offer

PROTOCOL: 422 for what "can never run", and "An accepted job must run".

Cause: admission looked at one task at a time (does it fit a type, is it within the team's limit). What holds for the tasks together was known to the scheduler alone.

Change: a job is refused if its tasks that must run at the same time (all of a gang, one of an array) need more zones than offer a type that fits and is allowed. Only types and zones count, never how many machines there are.

Why it works: with unlimited capacity in every zone a placement exists exactly if there are enough zones; a test tries 48 combinations of constraints in one and two zones against all assignments of tasks to zones, and every accepted job completes.

--- a/crates/control/src/gateway/admission.rs
+++ b/crates/control/src/gateway/admission.rs
@@ -1,14 +1,15 @@
-//! Admission checks of submissions: valid fields, the team's limits, and a machine type that a task fits.
+//! Admission checks of submissions: valid fields, the team's limits, and machine types and zones in which the tasks
+//! can run.
 
 use super::rejection::Rejection;
+use crate::offers::{allows_type, allows_zone, task_resources};
 use crate::settings::Team;
+use sched::{max_tasks_per_zone, required_zones, ResourceBounds, TeamSnapshot};
+use std::collections::BTreeSet;
 use wire::cloud::MachineType;
 use wire::users::{is_job_id, Shape, Submission};
 
-/// Tolerance for comparing amounts of CPUs, GPUs and memory, which are sums of decimal fractions.
-const RESOURCE_TOLERANCE: f64 = 1e-6;
-
-/// The teams and machine types against which submissions are checked.
+/// What submissions are checked against.
 pub(super) struct Admission {
     teams: Vec<Team>,
     machine_types: Option<Vec<MachineType>>,
@@ -52,45 +53,47 @@
         let Some(team) = self.teams.iter().find(|team| team.name == spec.team) else {
             return Err(Rejection::UnknownTeam(spec.team.clone()));
         };
-        let tasks_at_once = match spec.shape {
-            Shape::Gang => spec.tasks as f64,
-            Shape::Array | Shape::Service => 1.0,
-        };
-        let is_over = |limit: f64, per_task: f64| {
-            limit > 0.0 && per_task * tasks_at_once > limit + RESOURCE_TOLERANCE
+        let idle_team = TeamSnapshot {
+            limit: ResourceBounds::from_settings(team.cpus_max, team.gpus_max),
+            ..TeamSnapshot::default()
         };
-        if is_over(team.cpus_max, spec.cpus) || is_over(team.gpus_max, spec.gpus) {
-            return Err(Rejection::OverTeamLimit);
+        let needed = task_resources(spec).times(f64::from(tasks_at_once(spec)));
+        match idle_team.is_within_limit(&needed) {
+            true => Ok(()),
+            false => Err(Rejection::OverTeamLimit),
         }
-        Ok(())
     }
 
+    /// Rejects a job whose tasks could not run even if every offer of the cloud had unlimited capacity.
     fn check_machine_types(&self, spec: &Submission) -> Result<(), Rejection> {
         let Some(types) = &self.machine_types else {
             return Err(Rejection::MachineTypesUnknown);
         };
-        if types.iter().any(|machine_type| fits(spec, machine_type)) {
-            Ok(())
-        } else {
-            Err(Rejection::FitsNoMachineType)
+        let mut zones = BTreeSet::new();
+        for machine_type in types.iter().filter(|kind| allows_type(spec, kind)) {
+            if machine_type.zones.is_empty() {
+                // The zones are not known, so nothing rules the job out.
+                return Ok(());
+            }
+            let offered = machine_type.zones.iter();
+            zones.extend(offered.filter(|zone| allows_zone(spec, zone)));
+        }
+        if zones.is_empty() {
+            return Err(Rejection::FitsNoMachineType);
+        }
+        let tasks = u32::try_from(spec.tasks).unwrap_or(u32::MAX);
+        let max_per_zone = spec.spread.then(|| max_tasks_per_zone(tasks));
+        match required_zones(tasks_at_once(spec), spec.one_zone, max_per_zone) {
+            Some(required) if zones.len() >= required as usize => Ok(()),
+            _ => Err(Rejection::TooFewZones),
         }
     }
 }
 
-/// Whether a task can run on an empty machine of this type.
-fn fits(spec: &Submission, machine_type: &MachineType) -> bool {
-    let type_allowed = spec
-        .machine_types
-        .as_ref()
-        .is_none_or(|names| names.contains(&machine_type.name));
-    // A type that lists no zones is available in all zones.
-    let zone_allowed = spec
-        .zone
-        .as_ref()
-        .is_none_or(|zone| machine_type.zones.is_empty() || machine_type.zones.contains(zone));
-    type_allowed
-        && zone_allowed
-        && spec.cpus <= machine_type.cpus + RESOURCE_TOLERANCE
-        && spec.gpus <= machine_type.gpus + RESOURCE_TOLERANCE
-        && spec.mem_gb <= machine_type.mem_gb + RESOURCE_TOLERANCE
+/// The number of tasks that must run at the same time for the job to make progress.
+fn tasks_at_once(spec: &Submission) -> u32 {
+    match spec.shape {
+        Shape::Gang => u32::try_from(spec.tasks).unwrap_or(u32::MAX),
+        Shape::Array | Shape::Service => 1,
+    }
 }
--- a/crates/control/src/gateway/rejection.rs
+++ b/crates/control/src/gateway/rejection.rs
@@ -47,6 +47,11 @@
     /// A task does not fit any machine type on which it may run.
     #[error("a task fits no allowed machine type")]
     FitsNoMachineType,
+    /// The tasks of a gang can't run at the same time in the zones in which they may run.
+    #[error(
+        "the gang's tasks can't all run at once in the zones that offer a machine type for them"
+    )]
+    TooFewZones,
     /// The machine types are not known, so it can't be determined whether the job could run.
     #[error("machine types are not known yet")]
     MachineTypesUnknown,
@@ -91,7 +96,8 @@
             Rejection::UnknownDependency(_)
             | Rejection::UnknownTeam(_)
             | Rejection::OverTeamLimit
-            | Rejection::FitsNoMachineType => UNPROCESSABLE,
+            | Rejection::FitsNoMachineType
+            | Rejection::TooFewZones => UNPROCESSABLE,
             Rejection::MachineTypesUnknown
             | Rejection::TooManyRequests
             | Rejection::TooManyUnknownIds
--- a/crates/control/src/leader/consolidation/demand.rs
+++ b/crates/control/src/leader/consolidation/demand.rs
@@ -2,8 +2,8 @@
 
 use crate::effects::Now;
 use crate::leader::model::{Job, Machine};
-use crate::leader::planning::type_resources;
 use crate::leader::Leader;
+use crate::offers::{allows_type, allows_zone, type_resources};
 use sched::Resources;
 use std::collections::HashMap;
 use wire::cloud::MachineType;
@@ -102,15 +102,7 @@
 /// Whether a task of the job fits on an empty machine of the type and may be placed there.
 fn can_use(job: &Job, machine_type: &MachineType, zone: &str, spot: bool) -> bool {
     let spec = &job.spec;
-    (spec.spot_allowed || !spot)
-        && spec.zone.as_ref().is_none_or(|only| only == zone)
-        && spec
-            .machine_types
-            .as_ref()
-            .is_none_or(|types| types.contains(&machine_type.name))
-        && spec.cpus <= machine_type.cpus
-        && spec.gpus <= machine_type.gpus
-        && spec.mem_gb <= machine_type.mem_gb
+    (spec.spot_allowed || !spot) && allows_zone(spec, zone) && allows_type(spec, machine_type)
 }
 
 /// How many empty machines of the type the waiting tasks of a job need.
--- a/crates/control/src/leader/fleet/renting.rs
+++ b/crates/control/src/leader/fleet/renting.rs
@@ -2,8 +2,9 @@
 
 use crate::effects::{Effects, Now};
 use crate::leader::model::{Machine, RecordCell};
-use crate::leader::planning::{type_resources, SchedulingSnapshot};
+use crate::leader::planning::SchedulingSnapshot;
 use crate::leader::{Leader, OfferKey, Rental};
+use crate::offers::type_resources;
 use crate::requests::{CloudOp, CloudPurpose, RecordId};
 use constants::{
     HOUSEKEEPING_INTERVAL_MS, MACHINES_PER_RENTAL_MAX, RENTALS_IN_FLIGHT_MAX,
--- a/crates/control/src/leader/model/job.rs
+++ b/crates/control/src/leader/model/job.rs
@@ -7,6 +7,7 @@
 mod tests;
 
 use super::Chunk;
+use crate::offers::task_resources;
 use sched::{RangeSet, Resources};
 use std::collections::{BTreeMap, BTreeSet};
 use wire::records::{JobOutcome, JobRecord};
@@ -143,11 +144,7 @@
 
     /// Resources that each task takes.
     pub fn task_resources(&self) -> Resources {
-        Resources {
-            cpus: self.spec.cpus,
-            gpus: self.spec.gpus,
-            memory_gb: self.spec.mem_gb,
-        }
+        task_resources(&self.spec)
     }
 
     /// Whether all tasks are done.
--- a/crates/control/src/leader/planning.rs
+++ b/crates/control/src/leader/planning.rs
@@ -17,7 +17,7 @@
 mod snapshot;
 mod waiting_tasks;
 
-pub(super) use snapshot::{type_resources, SchedulingSnapshot};
+pub(super) use snapshot::SchedulingSnapshot;
 
 use super::Leader;
 use crate::effects::Effects;
--- a/crates/control/src/leader/planning/job_snapshots.rs
+++ b/crates/control/src/leader/planning/job_snapshots.rs
@@ -8,7 +8,8 @@
     AGING_THRESHOLD_S, DEADLINE_URGENT_SLACK_S, QUOTA_RESERVATION_PAUSE_S, QUOTA_RESERVATION_S,
 };
 use sched::{
-    pilot_count, queue_for_size, JobSnapshot, Resources, RunningTask, TeamSnapshot, UNKNOWN_ZONE,
+    max_tasks_per_zone, pilot_count, queue_for_size, JobSnapshot, Resources, RunningTask,
+    TeamSnapshot, UNKNOWN_ZONE,
 };
 
 /// Minimum expected remaining run time of a task, as a share of its estimate. A task that has exceeded its estimate may
@@ -184,7 +185,7 @@
             }),
             required_zone: spec.zone.as_ref().map(|zone| self.zones.intern(zone)),
             one_zone: spec.one_zone,
-            max_per_zone: spec.spread.then(|| job.task_count().div_ceil(2)),
+            max_per_zone: spec.spread.then(|| max_tasks_per_zone(job.task_count())),
             tasks_by_zone: usage.by_zone,
             spot_allowed: spec.spot_allowed,
             uncheckpointed: spec.checkpoint_interval_s <= 0.0 && spec.gpus <= 0.0,
--- a/crates/control/src/leader/planning/snapshot.rs
+++ b/crates/control/src/leader/planning/snapshot.rs
@@ -5,8 +5,9 @@
 use crate::leader::machine_health::MachineHealth;
 use crate::leader::model::{BootTimes, Machine};
 use crate::leader::Leader;
+use crate::offers::type_resources;
 use constants::{BOOT_OVERDUE_FACTOR, TASKS_PER_MACHINE_MAX};
-use sched::{ClusterSnapshot, MachineSnapshot, Policy, ResourceBounds, Resources, TeamSnapshot};
+use sched::{ClusterSnapshot, MachineSnapshot, Policy, ResourceBounds, TeamSnapshot};
 use std::collections::HashMap;
 use wire::cloud::MachineType;
 
@@ -24,15 +25,6 @@
     pub zones: Interner,
 }
 
-/// Total resources of a machine of this type.
-pub(in crate::leader) fn type_resources(machine_type: &MachineType) -> Resources {
-    Resources {
-        cpus: machine_type.cpus,
-        gpus: machine_type.gpus,
-        memory_gb: machine_type.mem_gb,
-    }
-}
-
 /// A snapshot under construction.
 pub(super) struct SnapshotBuilder<'a> {
     /// Source of the snapshot.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 mod leadership_watch;
 mod machine_types;
 mod node;
+mod offers;
 mod partitions;
 mod peer_heartbeats;
 mod peers;
--- /dev/null
+++ b/crates/control/tests/admission.rs
@@ -0,0 +1,181 @@
+//! Which submissions are refused because they can never run, which node decides it, and on what knowledge.
+
+mod common;
+
+use common::*;
+use fakes::{array_job, gang_job, machine_type, World, MACHINE_TYPE};
+use wire::users::{Phase, Submission};
+
+/// A machine type besides [`MACHINE_TYPE`], with the same resources.
+const OTHER_TYPE: &str = "g5";
+/// Time in milliseconds within which every accepted job of these tests completes.
+const COMPLETION_MS: u64 = 60_000;
+/// Milliseconds after which every node has read the machine types again.
+const REREAD_MS: u64 = 130_000;
+
+/// A gang of tasks that take a whole machine each, of which at most half may be in one zone.
+fn spread_gang(id: &str, tasks: u64) -> Submission {
+    Submission {
+        one_zone: false,
+        spread: true,
+        ..gang_job(id, tasks)
+    }
+}
+
+/// Starts three controllers with three machines in each of these zones. The cloud lists [`MACHINE_TYPE`] there.
+fn start_in_zones(zones: &[&str]) -> World {
+    let mut world = World::new(3, |node| settings(node, 3, 0.0));
+    world.machine_types = vec![machine_type(MACHINE_TYPE, zones)];
+    for (number, zone) in [zones; 3].concat().into_iter().enumerate() {
+        world.add_machine(&format!("vm-{number:06}"), zone);
+    }
+    assert!(world.run_until(6_000, |world| world.leader().is_some()));
+    world.run_for(4_000);
+    world
+}
+
+/// Submits a job as a user does: after a refusal for now, again a second later, up to 60 s in total.
+fn submit_with_retries(world: &mut World, node: usize, job: &Submission) -> u16 {
+    let gang_size = match job.shape {
+        wire::users::Shape::Gang => job.tasks as u32,
+        _ => 0,
+    };
+    let behaviour = fakes::TaskBehaviour {
+        gang_size,
+        ..runs_for(500)
+    };
+    for _ in 0..60 {
+        let status = world.submit(node, job, behaviour);
+        if !matches!(status, 0 | 429 | 503) {
+            return status;
+        }
+        world.run_for(1_000);
+    }
+    503
+}
+
+/// Guards against a gang that was accepted and stayed queued for good: its tasks must not all be in one zone, and the
+/// cloud offers machines in one zone only.
+#[test]
+fn a_gang_that_needs_two_zones_is_refused_where_there_is_one() {
+    let mut world = start_in_zones(&["a"]);
+    for node in 0..3 {
+        let refused = spread_gang(&format!("run-{node}"), 2);
+        assert_eq!(submit_with_retries(&mut world, node, &refused), 422);
+        assert_eq!(world.phase(node, &refused.id), None);
+    }
+    assert_no_violations(&world);
+}
+
+/// Every combination of constraints on zones, in deployments of one and of two zones: a job is refused exactly if no
+/// placement of its tasks exists, and every accepted job completes.
+#[test]
+fn a_job_is_accepted_exactly_if_its_tasks_have_a_placement() {
+    for zones in [&["a"][..], &["a", "b"]] {
+        let mut world = start_in_zones(zones);
+        let mut accepted = Vec::new();
+        for number in 0..48 {
+            let job = constrained_job(number);
+            let status = submit_with_retries(&mut world, number % 3, &job);
+            let expected = if has_placement(&job, zones) { 201 } else { 422 };
+            assert_eq!(status, expected, "{zones:?}: {job:?}");
+            if status == 201 {
+                accepted.push(job.id);
+            }
+        }
+        for id in accepted {
+            assert!(completes_within(&mut world, &id, COMPLETION_MS), "{id}");
+        }
+        assert_no_violations(&world);
+    }
+}
+
+/// One of 48 combinations of shape, number of tasks, and constraints on zones.
+fn constrained_job(number: usize) -> Submission {
+    let id = format!("run-{number}");
+    let tasks = [1, 2, 3][number % 3];
+    let shape_number = number / 3;
+    let job = match shape_number % 2 {
+        0 => array_job(&id, tasks),
+        _ => gang_job(&id, tasks),
+    };
+    Submission {
+        one_zone: shape_number & 2 != 0,
+        spread: shape_number & 4 != 0,
+        zone: (shape_number & 8 != 0).then(|| "a".to_string()),
+        ..job
+    }
+}
+
+/// Whether the tasks that must run at the same time can be placed, found by trying all assignments to zones.
+fn has_placement(job: &Submission, zones: &[&str]) -> bool {
+    let is_gang = matches!(job.shape, wire::users::Shape::Gang);
+    let at_once = if is_gang { job.tasks as u32 } else { 1 };
+    let assignments = (zones.len() as u32).pow(at_once);
+    (0..assignments).any(|assignment| {
+        let zone_of = |task: u32| assignment / (zones.len() as u32).pow(task) % zones.len() as u32;
+        let is_allowed_zone = |zone: u32| {
+            let required = job.zone.as_deref();
+            required.is_none_or(|required| required == zones[zone as usize])
+        };
+        let in_zone = |zone: u32| (0..at_once).filter(|task| zone_of(*task) == zone).count() as u64;
+        (0..at_once).all(|task| is_allowed_zone(zone_of(task)))
+            && (!job.one_zone || in_zone(zone_of(0)) == u64::from(at_once))
+            && (!job.spread || (0..at_once).all(|t| in_zone(zone_of(t)) <= job.tasks.div_ceil(2)))
+    })
+}
+
+/// The zones of a gang count over all types that fit its tasks, and only over these.
+#[test]
+fn zones_count_over_the_types_that_fit_the_tasks() {
+    let mut world = start_in_zones(&["a"]);
+    let small = wire::cloud::MachineType {
+        gpus: 1.0,
+        ..machine_type("small", &["a", "b", "c"])
+    };
+    world.machine_types = vec![
+        machine_type(MACHINE_TYPE, &["a"]),
+        machine_type(OTHER_TYPE, &["b"]),
+        small,
+    ];
+    world.cloud_capacity = 4;
+    world.run_for(REREAD_MS);
+    let limited_to = |id: &str, types: &[&str]| Submission {
+        machine_types: Some(types.iter().map(|name| name.to_string()).collect()),
+        ..spread_gang(id, 2)
+    };
+    // The gang's tasks need four GPUs each, so `small` does not count.
+    for (id, types) in [
+        ("run-1", &[MACHINE_TYPE][..]),
+        ("run-2", &[MACHINE_TYPE, "small"]),
+        ("run-3", &[OTHER_TYPE, "small"]),
+    ] {
+        let status = submit_with_retries(&mut world, 0, &limited_to(id, types));
+        assert_eq!(status, 422, "{types:?}");
+    }
+    for (id, job) in [
+        ("run-4", spread_gang("run-4", 2)),
+        ("run-5", limited_to("run-5", &[MACHINE_TYPE, OTHER_TYPE])),
+    ] {
+        assert_eq!(submit_with_retries(&mut world, 0, &job), 201, "{id}");
+        assert!(completes_within(&mut world, id, COMPLETION_MS), "{id}");
+    }
+    assert_no_violations(&world);
+}
+
+/// Dependencies, limits and zones are decided alike: what is refused is unknown afterwards, and can be cancelled by
+/// nobody.
+#[test]
+fn a_refused_job_stays_unknown_at_every_node() {
+    let mut world = start_in_zones(&["a"]);
+    assert_eq!(
+        submit_with_retries(&mut world, 0, &spread_gang("run-1", 2)),
+        422
+    );
+    for node in 0..3 {
+        let (status, _) = world.send_and_wait(node, "GET", "/submissions/run-1", vec![]);
+        assert_eq!(status, 404);
+        assert_eq!(world.abort(node, "run-1"), None::<Phase>);
+    }
+    assert_no_violations(&world);
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `sampling` | number of pilots, choice of the queue, weights of queues |
 //! | `resources` | amounts of CPUs, GPUs and memory |
 //! | `ranges` | compact sets of task numbers |
+//! | `zones` | constraints on the zones of a job's tasks |
 
 mod fleet;
 mod ranges;
@@ -20,6 +21,7 @@
 mod round;
 mod sampling;
 mod snapshot;
+mod zones;
 
 pub use fleet::{plan_fleet, FleetSnapshot, Offer, RentRequest};
 pub use ranges::RangeSet;
@@ -29,3 +31,4 @@
 pub use snapshot::{
     ClusterSnapshot, JobSnapshot, MachineSnapshot, RunningTask, TeamSnapshot, UNKNOWN_ZONE,
 };
+pub use zones::{max_tasks_per_zone, required_zones};
