Rent a machine type that lists no zones in all zones of the deployment

A job whose tasks fit only this type was accepted, also for a zone that does not exist, and no machine was ever rented for it: it stayed queued.

Cause: two rules. Admission took a type without `valleys` as offered everywhere, rentals and returns as offered nowhere.

Change: control::offers::offered_zones says in which zones a type is offered; admission, rentals and returns ask it. Without zones of its own a type is offered in the zones of the settings; if these name none either, nothing is refused for its zones.

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -36,7 +36,7 @@
 mod unknown_ids;
 
 use crate::effects::Effects;
-use crate::settings::{StateLimits, Team};
+use crate::settings::Deployment;
 use admission::Admission;
 use job_cache::JobCache;
 use job_records::JobRecordWriter;
@@ -61,10 +61,11 @@
 }
 
 impl Gateway {
-    /// Creates a gateway for these teams and state service limits.
-    pub fn new(teams: Vec<Team>, limits: &StateLimits) -> Self {
+    /// Creates a gateway for a deployment.
+    pub fn new(deployment: &Deployment) -> Self {
+        let limits = &deployment.state;
         Gateway {
-            admission: Admission::new(teams),
+            admission: Admission::new(deployment),
             records: JobRecordWriter::new(limits),
             cache: JobCache::new(),
             pending: PendingRequests::default(),
--- a/crates/control/src/gateway/admission.rs
+++ b/crates/control/src/gateway/admission.rs
@@ -2,8 +2,8 @@
 //! can run.
 
 use super::rejection::Rejection;
-use crate::offers::{allows_type, allows_zone, task_resources};
-use crate::settings::Team;
+use crate::offers::{allows_type, allows_zone, offered_zones, task_resources};
+use crate::settings::{Deployment, Team};
 use sched::{max_tasks_per_zone, required_zones, ResourceBounds, TeamSnapshot};
 use std::collections::BTreeSet;
 use wire::cloud::MachineType;
@@ -12,14 +12,17 @@
 /// What submissions are checked against.
 pub(super) struct Admission {
     teams: Vec<Team>,
+    /// Zones of the deployment.
+    zones: Vec<String>,
     machine_types: Option<Vec<MachineType>>,
 }
 
 impl Admission {
-    /// Creates the checks for these teams. The machine types are not known yet.
-    pub(super) fn new(teams: Vec<Team>) -> Self {
+    /// Creates the checks for a deployment. The machine types are not known yet.
+    pub(super) fn new(deployment: &Deployment) -> Self {
         Admission {
-            teams,
+            teams: deployment.teams.clone(),
+            zones: deployment.zones.clone(),
             machine_types: None,
         }
     }
@@ -71,12 +74,12 @@
         };
         let mut zones = BTreeSet::new();
         for machine_type in types.iter().filter(|kind| allows_type(spec, kind)) {
-            if machine_type.zones.is_empty() {
-                // The zones are not known, so nothing rules the job out.
+            let offered = offered_zones(machine_type, &self.zones);
+            if offered.is_empty() {
+                // Neither the cloud nor the settings name the zones, so nothing rules the job out.
                 return Ok(());
             }
-            let offered = machine_type.zones.iter();
-            zones.extend(offered.filter(|zone| allows_zone(spec, zone)));
+            zones.extend(offered.iter().filter(|zone| allows_zone(spec, zone)));
         }
         if zones.is_empty() {
             return Err(Rejection::FitsNoMachineType);
--- a/crates/control/src/leader/consolidation/demand.rs
+++ b/crates/control/src/leader/consolidation/demand.rs
@@ -3,7 +3,7 @@
 use crate::effects::Now;
 use crate::leader::model::{Job, Machine};
 use crate::leader::Leader;
-use crate::offers::{allows_type, allows_zone, type_resources};
+use crate::offers::{allows_type, allows_zone, offered_zones, type_resources};
 use sched::Resources;
 use std::collections::HashMap;
 use wire::cloud::MachineType;
@@ -41,7 +41,7 @@
         let jobs: Vec<&Job> = self.jobs.values().filter(is_candidate).collect();
         let mut demand = Vec::new();
         for machine_type in self.machine_types.desired.iter().flatten() {
-            for zone in &machine_type.zones {
+            for zone in offered_zones(machine_type, &self.settings.deployment.zones) {
                 for spot in [false, true] {
                     let suitable = jobs
                         .iter()
--- a/crates/control/src/leader/fleet/renting.rs
+++ b/crates/control/src/leader/fleet/renting.rs
@@ -4,7 +4,7 @@
 use crate::leader::model::{Machine, RecordCell};
 use crate::leader::planning::SchedulingSnapshot;
 use crate::leader::{Leader, OfferKey, Rental};
-use crate::offers::type_resources;
+use crate::offers::{offered_zones, type_resources};
 use crate::requests::{CloudOp, CloudPurpose, RecordId};
 use constants::{
     HOUSEKEEPING_INTERVAL_MS, MACHINES_PER_RENTAL_MAX, RENTALS_IN_FLIGHT_MAX,
@@ -135,7 +135,7 @@
     fn offers(&self, types: &[MachineType], snapshot: &mut SchedulingSnapshot, now: Now) -> Offers {
         let (mut offers, mut keys) = (Vec::new(), Vec::new());
         for machine_type in types {
-            for zone in &machine_type.zones {
+            for zone in offered_zones(machine_type, &self.settings.deployment.zones) {
                 for spot in [false, true] {
                     let key = OfferKey::new(&machine_type.name, zone, spot);
                     let backoff = self.offer_backoff.get(&key);
--- a/crates/control/src/node/construction.rs
+++ b/crates/control/src/node/construction.rs
@@ -37,7 +37,7 @@
             state: StateClient::new(limits.rps, limits.write_rps, controllers),
             cloud: CloudClient::new(deployment.cloud.rps),
             election: Election::new(&settings.label, boot),
-            gateway: Gateway::new(deployment.teams.clone(), limits),
+            gateway: Gateway::new(deployment),
             rollout: Rollout::new(&settings, operator.rollout.as_ref(), boot, now.mono),
             partitions: new_partitions(&settings, &operator, boot, now.mono),
             planned_stop: None,
--- a/crates/control/src/offers.rs
+++ b/crates/control/src/offers.rs
@@ -23,6 +23,17 @@
     }
 }
 
+/// Zones in which a machine type is offered. A type that lists none is offered in all zones of the deployment.
+pub(crate) fn offered_zones<'a>(
+    machine_type: &'a MachineType,
+    deployment_zones: &'a [String],
+) -> &'a [String] {
+    match machine_type.zones.is_empty() {
+        true => deployment_zones,
+        false => &machine_type.zones,
+    }
+}
+
 /// Whether a task of the job fits on an empty machine of the type and may run on this type.
 pub(crate) fn allows_type(spec: &Submission, machine_type: &MachineType) -> bool {
     let allowed = spec.machine_types.as_ref();
--- a/crates/control/tests/admission.rs
+++ b/crates/control/tests/admission.rs
@@ -163,6 +163,26 @@
     assert_no_violations(&world);
 }
 
+/// A type that lists no zones is offered in all zones of the deployment, for admission as for rentals.
+#[test]
+fn a_type_without_zones_is_rented_in_the_zones_of_the_deployment() {
+    let mut world = start_in_zones(&["a"]);
+    world.machine_types = vec![machine_type(MACHINE_TYPE, &[])];
+    world.cloud_capacity = 4;
+    world.run_for(REREAD_MS);
+    let elsewhere = Submission {
+        zone: Some("z".into()),
+        ..array_job("run-1", 1)
+    };
+    assert_eq!(submit_with_retries(&mut world, 0, &elsewhere), 422);
+    assert_eq!(
+        submit_with_retries(&mut world, 0, &spread_gang("run-2", 2)),
+        201
+    );
+    assert!(completes_within(&mut world, "run-2", COMPLETION_MS));
+    assert_no_violations(&world);
+}
+
 /// Dependencies, limits and zones are decided alike: what is refused is unknown afterwards, and can be cancelled by
 /// nobody.
 #[test]
