Only the leader refuses a job that can never run, on types listed now

What callers saw: a job that can run was refused for good (422, not retried) by a node whose knowledge was old: for a zone or machine type that the cloud had begun to offer since, or, at a node with settings of before, for a team or a limit that has changed.

Cause: every node decided by itself. One that does not lead read the recorded machine types once in its life. The record itself is up to a minute old, and older while the cloud's interface is down.

Evidence, on the code before: a_zone_or_type_that_is_offered_later_counts_at_every_node_at_once left: 422 right: 201 a_submission_that_two_nodes_passed_on_is_not_refused_on_old_types 422 no_node_refuses_a_job_for_good_without_a_leader left: 422 right: 503 no_node_refuses_a_job_for_good_while_the_cloud_does_not_answer: node 0 left: 422 right: 503 the_leader_decides_by_its_own_limits_and_teams: run-1 left: 422 right: 201

Change: a node that does not lead passes a submission that it would refuse as impossible (team, limit, types, zones) on to the leader, or answers 503 if it knows none. The leader refuses for the types' sake only if the cloud has listed them within 5 s; otherwise the submission waits for a listing, one for all that wait, and is decided anew. Without an answer in time: 503, as PROTOCOL has it for a node that cannot decide yet.

Why it works: the leader places the tasks, by the same types, zones and limits; nobody else can refuse. Jobs that can run by what a node knows are accepted as before, without another step, also while the cloud or the leader is away.

--- a/crates/constants/src/cloud.rs
+++ b/crates/constants/src/cloud.rs
@@ -8,6 +8,9 @@
 pub const MACHINE_LIST_RATE_SHARE: f64 = 0.2;
 /// Seconds between two listings of the machine types once they are known. Spot prices change.
 pub const MACHINE_TYPES_INTERVAL_S: f64 = 60.0;
+/// Milliseconds after a listing of the machine types during which a submission may be refused
+/// because of them. Otherwise they are listed first.
+pub const MACHINE_TYPES_RECENT_MS: u64 = 5_000;
 /// Milliseconds to wait for an answer of the cloud.
 pub const CLOUD_TIMEOUT_MS: u64 = 5_000;
 /// Rental requests in flight at a time.
--- a/crates/control/src/effects/node_event.rs
+++ b/crates/control/src/effects/node_event.rs
@@ -39,6 +39,10 @@
     },
     /// A write failed because the cluster's feature level has changed.
     LevelChanged,
-    /// The machine types were read, or have changed.
+    /// The record of the machine types was read.
     MachineTypesRead(Vec<MachineType>),
+    /// The cloud has listed the machine types to this node.
+    MachineTypesListed(Vec<MachineType>),
+    /// A decision of this node waits until the cloud lists the machine types.
+    MachineTypesNeeded,
 }
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -4,12 +4,16 @@
 //! final: a job that is done or cancelled never changes again. All other cached data only determines which requests to
 //! send to the state service.
 //!
+//! Only the leader refuses a job because it can never run: the other nodes' machine types may be out of date. They pass
+//! such a submission on to the leader.
+//!
 //! A request passes through these modules:
 //!
 //! - `intake` parses it and chooses its first stage, using `admission` for submissions;
 //! - `pending` stores it, with its operation and its stage, until it is answered;
 //! - `sending` sends the state service request of a stage, and `replies` routes the reply;
 //! - `submit`, `cancel` and `status` implement the three operations;
+//! - `impossible_jobs` confirms that a job can never run before it is refused for good;
 //! - `read_validation` and `unknown_ids` answer many requests with one transaction;
 //! - `dependency_state` and `dependency_reads` evaluate the jobs on which a job depends.
 //!
@@ -23,6 +27,7 @@
 mod dependency_reads;
 mod dependency_state;
 mod events;
+mod impossible_jobs;
 mod intake;
 mod job_cache;
 mod job_records;
@@ -45,6 +50,8 @@
 use rejection::Rejection;
 use unknown_ids::UnknownIds;
 
+pub(crate) use intake::{Acceptance, NodeStatus};
+
 /// Number of compares that the state service protocol permits in a transaction per permitted write.
 const COMPARES_PER_WRITE: usize = 4;
 
--- a/crates/control/src/gateway/admission.rs
+++ b/crates/control/src/gateway/admission.rs
@@ -4,6 +4,7 @@
 use super::rejection::Rejection;
 use crate::offers::{allows_type, allows_zone, offered_zones, task_resources};
 use crate::settings::{Deployment, Team};
+use constants::MACHINE_TYPES_RECENT_MS;
 use sched::{max_tasks_per_zone, required_zones, ResourceBounds, TeamSnapshot};
 use std::collections::BTreeSet;
 use wire::cloud::MachineType;
@@ -15,6 +16,8 @@
     /// Zones of the deployment.
     zones: Vec<String>,
     machine_types: Option<Vec<MachineType>>,
+    /// When the cloud last listed the machine types to this node, on the monotonic clock.
+    listed_at: Option<u64>,
 }
 
 impl Admission {
@@ -24,12 +27,20 @@
             teams: deployment.teams.clone(),
             zones: deployment.zones.clone(),
             machine_types: None,
+            listed_at: None,
         }
     }
 
-    /// Sets the known machine types.
-    pub(super) fn set_machine_types(&mut self, types: Vec<MachineType>) {
+    /// Sets the machine types from the record of a leader, which may be out of date.
+    pub(super) fn set_recorded_types(&mut self, types: Vec<MachineType>) {
         self.machine_types = Some(types);
+        self.listed_at = None;
+    }
+
+    /// Sets the machine types that the cloud has just listed.
+    pub(super) fn set_listed_types(&mut self, types: Vec<MachineType>, now: u64) {
+        self.machine_types = Some(types);
+        self.listed_at = Some(now);
     }
 
     /// Whether the machine types are known.
@@ -37,6 +48,13 @@
         self.machine_types.is_some()
     }
 
+    /// Whether a rejection holds now. One that depends on the machine types does only if the cloud has listed them
+    /// recently.
+    pub(super) fn is_current(&self, rejection: &Rejection, now: u64) -> bool {
+        let is_recent = |at: u64| now <= at + MACHINE_TYPES_RECENT_MS;
+        !rejection.depends_on_machine_types() || self.listed_at.is_some_and(is_recent)
+    }
+
     /// Checks a submission, except for whether its dependencies exist.
     pub(super) fn check(&self, spec: &Submission) -> Result<(), Rejection> {
         if let Some(field) = spec.invalid_field() {
--- a/crates/control/src/gateway/dependency_reads.rs
+++ b/crates/control/src/gateway/dependency_reads.rs
@@ -80,7 +80,9 @@
             return;
         };
         match &mut pending.operation {
-            operation @ (Operation::Submit(_) | Operation::RejectedSubmit(_)) => {
+            operation @ (Operation::Submit(_)
+            | Operation::RejectedSubmit(_)
+            | Operation::ImpossibleSubmit(_)) => {
                 *operation = Operation::RejectedSubmit(Rejection::UnknownDependency(dependency));
                 self.advance(pending_id, Stage::ReadingOpen, effects);
             }
--- a/crates/control/src/gateway/events.rs
+++ b/crates/control/src/gateway/events.rs
@@ -11,7 +11,7 @@
         match event {
             NodeEvent::JobEnded { job, outcome } => self.remember_outcome(job.clone(), *outcome),
             NodeEvent::JobCancelled { job } => self.remember_cancelled(job),
-            NodeEvent::MachineTypesRead(types) => self.admission.set_machine_types(types.clone()),
+            NodeEvent::MachineTypesRead(types) => self.admission.set_recorded_types(types.clone()),
             NodeEvent::Upgraded | NodeEvent::UpgradeEvidence { .. } => self.records.set_upgraded(),
             _ => {}
         }
--- a/crates/control/src/gateway/intake.rs
+++ b/crates/control/src/gateway/intake.rs
@@ -3,7 +3,8 @@
 use super::pending::{Operation, PendingRequest, Stage};
 use super::rejection::Rejection;
 use super::Gateway;
-use crate::effects::{Effects, RequestId};
+use crate::effects::{Effects, NodeEvent, RequestId};
+use crate::forwarding::HttpRequest;
 use wire::users::{is_job_id, Submission, SubmissionId};
 
 const SUBMISSIONS_PATH: &str = "/submissions";
@@ -40,43 +41,84 @@
     job_id: String,
 }
 
+/// What a node can do for its users at the moment.
+#[derive(Clone, Copy)]
+pub(crate) struct NodeStatus {
+    /// Whether the node reaches the state service.
+    pub is_state_available: bool,
+    /// Whether the node leads.
+    pub is_leader: bool,
+}
+
+/// Whether the gateway handles a request.
+#[must_use]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Acceptance {
+    /// The gateway answers the request, now or later.
+    Accepted,
+    /// The submission can be decided by the leader only. It is not answered here.
+    NeedsLeader,
+}
+
 impl Gateway {
-    /// Handles a user's request. If the state service is unavailable, only jobs whose outcome is known are answered.
+    /// Handles a user's request, whose target is a path without a query. If the state service is unavailable, only jobs
+    /// whose outcome is known are answered.
     pub fn on_request(
         &mut self,
-        request: RequestId,
-        method: &str,
-        path: &str,
-        body: &[u8],
-        state_available: bool,
+        request: HttpRequest,
+        node: NodeStatus,
         effects: &mut Effects,
-    ) {
-        let UserRequest { operation, job_id } = match self.read_request(method, path, body) {
-            Ok(read) => read,
+    ) -> Acceptance {
+        match self.read_request(&request, effects.now.mono) {
+            Ok(read) => self.handle(request, read, node, effects),
             Err(rejection) => {
-                return effects.refuse(request, rejection.status(), &rejection.to_string())
+                effects.refuse(request.id, rejection.status(), &rejection.to_string());
+                Acceptance::Accepted
             }
-        };
+        }
+    }
+
+    fn handle(
+        &mut self,
+        request: HttpRequest,
+        user_request: UserRequest,
+        node: NodeStatus,
+        effects: &mut Effects,
+    ) -> Acceptance {
+        let UserRequest { operation, job_id } = user_request;
         if let Some(outcome) = self.cache.known_outcome(&job_id) {
-            return self.answer_final(request, &job_id, outcome, effects);
+            self.answer_final(request.id, &job_id, outcome, effects);
+            return Acceptance::Accepted;
+        }
+        if self.needs_leader(&operation, &job_id, node) {
+            return Acceptance::NeedsLeader;
         }
         let stage = self.first_stage(&operation, &job_id);
-        if let Err(rejection) = self.check_capacity(&operation, &stage, state_available) {
-            return effects.refuse(request, rejection.status(), &rejection.to_string());
+        if let Err(rejection) = self.check_capacity(&operation, &stage, node.is_state_available) {
+            effects.refuse(request.id, rejection.status(), &rejection.to_string());
+            return Acceptance::Accepted;
         }
-        let pending = PendingRequest::new(request, job_id, operation, stage, effects.now.mono);
+        let pending = PendingRequest::new(request.id, job_id, operation, stage, effects.now.mono);
         let pending_id = self.pending.insert(pending);
         self.start(pending_id, effects);
+        Acceptance::Accepted
     }
 
-    fn read_request(
-        &self,
-        method: &str,
-        path: &str,
-        body: &[u8],
-    ) -> Result<UserRequest, Rejection> {
+    /// Refuses a submission that only the leader can decide, since no leader can be asked. The user retries.
+    pub fn refuse_unconfirmed(&self, request: RequestId, effects: &mut Effects) {
+        let rejection = Rejection::Unconfirmed;
+        effects.refuse(request, rejection.status(), &rejection.to_string());
+    }
+
+    fn read_request(&self, request: &HttpRequest, now: u64) -> Result<UserRequest, Rejection> {
+        let HttpRequest {
+            method,
+            target: path,
+            body,
+            ..
+        } = *request;
         let user_request = match Route::parse(method, path)? {
-            Route::Submit => self.read_submission(body).inspect_err(log_refused)?,
+            Route::Submit => self.read_submission(body, now).inspect_err(log_refused)?,
             Route::Status(id) => UserRequest {
                 operation: Operation::Status,
                 job_id: id.to_string(),
@@ -95,9 +137,9 @@
 
     /// Parses a submission. A submission without a readable ID is refused immediately. Any other error is answered only
     /// after it is certain that no accepted job has the ID.
-    fn read_submission(&self, body: &[u8]) -> Result<UserRequest, Rejection> {
+    fn read_submission(&self, body: &[u8], now: u64) -> Result<UserRequest, Rejection> {
         let user_request = match wire::decode::<Submission>(body) {
-            Ok(spec) => self.check_submission(spec),
+            Ok(spec) => self.check_submission(spec, now),
             Err(error) => {
                 let malformed = Rejection::Malformed(error.to_string());
                 let Ok(SubmissionId { id: job_id }) = wire::decode(body) else {
@@ -116,27 +158,38 @@
         }
     }
 
-    fn check_submission(&self, mut spec: Submission) -> UserRequest {
+    fn check_submission(&self, mut spec: Submission, now: u64) -> UserRequest {
         spec.dedup_dependencies();
         let job_id = spec.id.clone();
+        let operation = self.submit_operation(spec, now);
+        UserRequest { operation, job_id }
+    }
+
+    /// The operation for a submission whose fields have been read.
+    pub(super) fn submit_operation(&self, spec: Submission, now: u64) -> Operation {
         let checked = self.admission.check(&spec);
-        let operation = match checked.and_then(|()| self.records.check_size(&spec)) {
+        match checked.and_then(|()| self.records.check_size(&spec)) {
             Ok(()) => Operation::Submit(Box::new(spec)),
-            Err(rejection) => Operation::RejectedSubmit(rejection),
-        };
-        UserRequest { operation, job_id }
+            Err(rejection) if self.admission.is_current(&rejection, now) => {
+                Operation::RejectedSubmit(rejection)
+            }
+            Err(_) => Operation::ImpossibleSubmit(Box::new(spec)),
+        }
     }
 
     /// The first stage of a request about a job whose outcome is not known.
-    fn first_stage(&self, operation: &Operation, id: &str) -> Stage {
+    pub(super) fn first_stage(&self, operation: &Operation, id: &str) -> Stage {
         let version_known = self.cache.known_version(id).is_some();
         match operation {
             Operation::Submit(_) => Stage::Creating,
+            Operation::ImpossibleSubmit(_) if !version_known => Stage::ListingMachineTypes,
             _ if !version_known => Stage::CheckingUnknownId,
             // Users query every open job every few seconds. A separate read for each query would exhaust the state
             // service's request rate.
             Operation::Status => Stage::Validating,
-            Operation::RejectedSubmit(_) | Operation::Cancel => Stage::ReadingOpen,
+            Operation::RejectedSubmit(_) | Operation::ImpossibleSubmit(_) | Operation::Cancel => {
+                Stage::ReadingOpen
+            }
         }
     }
 
@@ -161,13 +214,14 @@
     }
 
     /// Starts the first stage of a request.
-    fn start(&mut self, pending_id: u64, effects: &mut Effects) {
+    pub(super) fn start(&mut self, pending_id: u64, effects: &mut Effects) {
         let Some(pending) = self.pending.get(pending_id) else {
             return;
         };
         let is_change = pending.operation.is_change();
         match (&pending.stage, &pending.operation) {
             (Stage::Validating, _) => self.validation.push_back(pending_id),
+            (Stage::ListingMachineTypes, _) => effects.emit(NodeEvent::MachineTypesNeeded),
             (Stage::CheckingUnknownId, _) => self.unknown_ids.push_back(pending_id, is_change),
             (Stage::Creating, Operation::Submit(spec)) if !spec.dependencies.is_empty() => {
                 self.continue_submission(pending_id, effects);
--- a/crates/control/src/gateway/pending.rs
+++ b/crates/control/src/gateway/pending.rs
@@ -16,6 +16,8 @@
     /// A submission that can't be accepted. It is refused only if its ID is unknown, since the repeat of an accepted
     /// submission is answered with the job's state.
     RejectedSubmit(Rejection),
+    /// A submission of a job that can never run, according to machine types that may be out of date.
+    ImpossibleSubmit(Box<Submission>),
     /// Queries a job's state.
     Status,
     /// Cancels a job.
@@ -42,6 +44,8 @@
 pub(super) enum Stage {
     /// A read validation that checks whether the cached version of the job's record is current.
     Validating,
+    /// A listing of the machine types by the cloud, which decides whether the job can run.
+    ListingMachineTypes,
     /// A transaction that checks whether any job has the ID, which is not in the cache.
     CheckingUnknownId,
     /// The transaction that creates the job.
@@ -74,7 +78,10 @@
             | Stage::ReadingFinal
             | Stage::ValidatingDependencies
             | Stage::ReadingDependency { .. } => true,
-            Stage::Validating | Stage::CheckingUnknownId | Stage::Cancelling => false,
+            Stage::Validating
+            | Stage::ListingMachineTypes
+            | Stage::CheckingUnknownId
+            | Stage::Cancelling => false,
         }
     }
 }
@@ -195,6 +202,15 @@
             .is_some_and(|pending| now < pending.received_at + USER_RETRY_WINDOW_MS)
     }
 
+    /// Pending IDs of the requests that wait for a listing of the machine types.
+    pub(super) fn awaiting_machine_types(&self) -> Vec<u64> {
+        let awaits_types = |(_, pending): &(&u64, &PendingRequest)| {
+            matches!(pending.stage, Stage::ListingMachineTypes)
+        };
+        let awaiting = self.requests.iter().filter(awaits_types);
+        awaiting.map(|(pending_id, _)| *pending_id).collect()
+    }
+
     /// Pending IDs of the requests whose deadline has passed.
     pub(super) fn past_deadline(&self, now: u64) -> Vec<u64> {
         self.requests
--- a/crates/control/src/gateway/rejection.rs
+++ b/crates/control/src/gateway/rejection.rs
@@ -52,6 +52,9 @@
         "the gang's tasks can't all run at once in the zones that offer a machine type for them"
     )]
     TooFewZones,
+    /// This node does not lead, and no leader can be asked whether the job can run.
+    #[error("no leader confirms that the job can never run")]
+    Unconfirmed,
     /// The machine types are not known, so it can't be determined whether the job could run.
     #[error("machine types are not known yet")]
     MachineTypesUnknown,
@@ -85,6 +88,18 @@
 }
 
 impl Rejection {
+    /// Whether the job can never run, according to the settings or the machine types. Nodes may differ in what they
+    /// know of these.
+    pub(super) fn is_impossible_job(&self) -> bool {
+        self.depends_on_machine_types()
+            || matches!(self, Rejection::UnknownTeam(_) | Rejection::OverTeamLimit)
+    }
+
+    /// Whether the rejection depends on the machine types that the cloud offers.
+    pub(super) fn depends_on_machine_types(&self) -> bool {
+        matches!(self, Rejection::FitsNoMachineType | Rejection::TooFewZones)
+    }
+
     /// HTTP status code of the answer.
     pub(super) fn status(&self) -> u16 {
         match self {
@@ -98,7 +113,8 @@
             | Rejection::OverTeamLimit
             | Rejection::FitsNoMachineType
             | Rejection::TooFewZones => UNPROCESSABLE,
-            Rejection::MachineTypesUnknown
+            Rejection::Unconfirmed
+            | Rejection::MachineTypesUnknown
             | Rejection::TooManyRequests
             | Rejection::TooManyUnknownIds
             | Rejection::StateUnreachable
--- a/crates/control/src/gateway/status.rs
+++ b/crates/control/src/gateway/status.rs
@@ -77,7 +77,11 @@
                 );
                 self.refuse(pending_id, &rejection, effects);
             }
-            // The creating transaction may still be executed. The user's retry shows the result.
+            // A submission that is impossible by old machine types is refused for now, and so is one whose creating
+            // transaction may still be executed. The user's retry shows the result.
+            Operation::ImpossibleSubmit(_) => {
+                self.refuse(pending_id, &Rejection::Unconfirmed, effects);
+            }
             Operation::Submit(_) => self.refuse(pending_id, &Rejection::NotRecordedYet, effects),
             // The job became known after the first of the two reads was sent.
             Operation::Status | Operation::Cancel if self.cache.is_known(&pending.job_id) => {
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -62,13 +62,22 @@
     }
 
     fn request_machine_types(&mut self, effects: &mut Effects) {
-        let now = effects.now.mono;
-        if now >= self.next_type_listing_at {
-            self.next_type_listing_at = now + (MACHINE_TYPES_INTERVAL_S * 1000.0) as u64;
-            self.send_cloud_request(CloudOp::Types, CloudPurpose::Types, effects);
+        if effects.now.mono >= self.next_type_listing_at {
+            self.list_machine_types_now(effects);
         }
     }
 
+    /// Requests the machine types from the cloud, unless a request is in flight already or the recorded types have not
+    /// been read yet.
+    pub fn list_machine_types_now(&mut self, effects: &mut Effects) {
+        if !self.is_ready() || self.type_listing_in_flight {
+            return;
+        }
+        self.type_listing_in_flight = true;
+        self.next_type_listing_at = effects.now.mono + (MACHINE_TYPES_INTERVAL_S * 1000.0) as u64;
+        self.send_cloud_request(CloudOp::Types, CloudPurpose::Types, effects);
+    }
+
     /// Forgets machines that were removed so long ago that no delayed heartbeat or listing can still name them.
     fn expire_departed(&mut self, now: Now) {
         let list_lag_s = self.settings.deployment.cloud.list_lag_s;
--- a/crates/control/src/leader/fleet/replies.rs
+++ b/crates/control/src/leader/fleet/replies.rs
@@ -35,6 +35,7 @@
                 self.on_machine_types(types, effects)
             }
             (CloudPurpose::Types, _) => {
+                self.type_listing_in_flight = false;
                 let retry_ms = match self.machine_types.desired.is_some() {
                     true => TYPES_RETRY_MS,
                     false => FIRST_TYPES_RETRY_MS,
@@ -71,8 +72,9 @@
     }
 
     fn on_machine_types(&mut self, types: Vec<MachineType>, effects: &mut Effects) {
+        self.type_listing_in_flight = false;
+        effects.emit(NodeEvent::MachineTypesListed(types.clone()));
         if self.machine_types.desired.as_ref() != Some(&types) {
-            effects.emit(NodeEvent::MachineTypesRead(types.clone()));
             self.machine_types.desired = Some(types);
             self.queue_write(RecordId::Types);
             self.round_due = true;
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -146,6 +146,8 @@
     filled_offers: BTreeSet<OfferKey>,
     next_listing_at: u64,
     next_type_listing_at: u64,
+    /// Whether a listing of the machine types has been requested and not answered.
+    type_listing_in_flight: bool,
     /// When the machine listing under way began.
     listing_started_at: Option<u64>,
     /// Machines that the listing under way has returned so far.
@@ -212,6 +214,7 @@
             filled_offers: BTreeSet::new(),
             next_listing_at: 0,
             next_type_listing_at: 0,
+            type_listing_in_flight: false,
             listing_started_at: None,
             listed_machines: BTreeSet::new(),
             last_listing_at: 0,
--- a/crates/control/src/node/dispatch.rs
+++ b/crates/control/src/node/dispatch.rs
@@ -56,7 +56,9 @@
         self.tick_partitions(&mut effects);
         self.watch_leadership(&mut effects);
         let knows_types = self.gateway.knows_machine_types();
-        self.machine_types.tick(knows_types, &mut effects);
+        let lists_types = self.leader.is_some();
+        self.machine_types
+            .tick(knows_types, lists_types, &mut effects);
         self.peer_heartbeats.tick(
             &self.election,
             &self.state,
--- a/crates/control/src/node/events.rs
+++ b/crates/control/src/node/events.rs
@@ -19,6 +19,14 @@
             NodeEvent::LevelChanged => self.rollout.reread(effects.now.mono),
             NodeEvent::Upgraded => self.on_upgraded(effects),
             NodeEvent::MachineTypesRead(_) => {}
+            NodeEvent::MachineTypesListed(types) => {
+                self.gateway.on_machine_types_listed(types, effects);
+            }
+            NodeEvent::MachineTypesNeeded => {
+                if let Some(leader) = &mut self.leader {
+                    leader.list_machine_types_now(effects);
+                }
+            }
         }
     }
 
--- a/crates/control/src/node/http_routing.rs
+++ b/crates/control/src/node/http_routing.rs
@@ -3,6 +3,7 @@
 use super::Node;
 use crate::effects::{Effects, RequestId};
 use crate::forwarding::{ForwardedRequests, HttpRequest, HEARTBEAT_PATH};
+use crate::gateway::{Acceptance, NodeStatus};
 
 /// Path of the load balancer's readiness check.
 const READY_PATH: &str = "/ready";
@@ -54,21 +55,44 @@
     }
 
     /// Handles a user's request. If this node doesn't reach the state service, it forwards the
-    /// request to a peer that does, unless a peer forwarded the request to this node.
+    /// request to a peer that does, unless a peer forwarded the request to this node. A submission
+    /// that only the leader can decide goes to the leader.
     fn on_user_request(&mut self, request: HttpRequest, path: &str, effects: &mut Effects) {
         let now = effects.now.mono;
-        let HttpRequest {
-            id, method, body, ..
-        } = request;
         let is_state_available = self.state.is_available(now);
-        if !is_state_available && !ForwardedRequests::is_from_peer(id) {
+        if !is_state_available && !ForwardedRequests::is_from_peer(request.id) {
             if let Some(peer) = self.peers.peer_reaching_state(now) {
                 let peer = peer.to_string();
                 return self.forwarded_requests.forward(request, peer, effects);
             }
         }
-        self.gateway
-            .on_request(id, method, path, body, is_state_available, effects);
+        let status = NodeStatus {
+            is_state_available,
+            is_leader: self.leader.is_some(),
+        };
+        let user_request = HttpRequest {
+            target: path,
+            ..request
+        };
+        let acceptance = self.gateway.on_request(user_request, status, effects);
+        if acceptance == Acceptance::NeedsLeader {
+            self.forward_to_leader(request, effects);
+        }
+    }
+
+    /// Forwards a submission that only the leader can decide. A request from a peer is not forwarded
+    /// again, since nodes may disagree on who leads.
+    fn forward_to_leader(&mut self, request: HttpRequest, effects: &mut Effects) {
+        let now = effects.now.mono;
+        let is_alive = |leader: &&str| self.peers.live_process(leader, now).is_some();
+        let leader = self.election.leader_label(now).filter(is_alive);
+        match leader.filter(|_| !ForwardedRequests::is_from_peer(request.id)) {
+            Some(leader) => {
+                let leader = leader.to_string();
+                self.forwarded_requests.forward(request, leader, effects);
+            }
+            None => self.gateway.refuse_unconfirmed(request.id, effects),
+        }
     }
 
     /// Returns whether this node serves users.
--- a/crates/control/tests/admission.rs
+++ b/crates/control/tests/admission.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use fakes::{array_job, gang_job, machine_type, World, MACHINE_TYPE};
+use fakes::{array_job, gang_job, machine_type, ConnectionFault, Party, World, MACHINE_TYPE};
 use wire::users::{Phase, Submission};
 
 /// A machine type besides [`MACHINE_TYPE`], with the same resources.
@@ -163,6 +163,166 @@
     assert_no_violations(&world);
 }
 
+/// Guards against refusing, on an old list of machine types, a job that can run: a node that does not lead read the
+/// types once, before the cloud offered a second zone and a new type.
+#[test]
+fn a_zone_or_type_that_is_offered_later_counts_at_every_node_at_once() {
+    let mut world = start_in_zones(&["a"]);
+    world.machine_types = vec![
+        machine_type(MACHINE_TYPE, &["a", "b"]),
+        machine_type(OTHER_TYPE, &["b"]),
+    ];
+    world.cloud_capacity = 4;
+    // Older than what a refusal may rely on, and the types are not due to be listed again.
+    world.run_for(10_000);
+    for node in 0..3 {
+        let gang = spread_gang(&format!("run-1{node}"), 2);
+        assert_eq!(submit_with_retries(&mut world, node, &gang), 201);
+        let new_type = Submission {
+            machine_types: Some(vec![OTHER_TYPE.into()]),
+            ..array_job(&format!("run-2{node}"), 1)
+        };
+        assert_eq!(submit_with_retries(&mut world, node, &new_type), 201);
+    }
+    for node in 0..3 {
+        for id in [format!("run-1{node}"), format!("run-2{node}")] {
+            assert!(completes_within(&mut world, &id, COMPLETION_MS), "{id}");
+        }
+    }
+    assert_no_violations(&world);
+}
+
+/// A submission that may never run is not decided on what the cloud listed long ago, by any node.
+#[test]
+fn no_node_refuses_a_job_for_good_while_the_cloud_does_not_answer() {
+    let mut world = start_in_zones(&["a"]);
+    world.cloud_down = true;
+    world.run_for(10_000);
+    for node in 0..3 {
+        let gang = spread_gang(&format!("run-{node}"), 2);
+        assert_eq!(world.submit(node, &gang, runs_for(500)), 503, "node {node}");
+        // A job that can run by what is known is accepted meanwhile.
+        let array = array_job(&format!("run-1{node}"), 1);
+        assert_eq!(
+            world.submit(node, &array, runs_for(500)),
+            201,
+            "node {node}"
+        );
+    }
+    world.cloud_down = false;
+    for node in 0..3 {
+        let gang = spread_gang(&format!("run-{node}"), 2);
+        assert_eq!(submit_with_retries(&mut world, node, &gang), 422);
+    }
+    assert_no_violations(&world);
+}
+
+/// Without a leader nobody can confirm that a job can never run.
+#[test]
+fn no_node_refuses_a_job_for_good_without_a_leader() {
+    let mut world = start_in_zones(&["a"]);
+    let leader = world.leader().expect("leader");
+    let follower = follower(&world);
+    world.crash(leader);
+    let status = world.submit(follower, &spread_gang("run-1", 2), runs_for(500));
+    assert_eq!(status, 503);
+    world.start(leader);
+    let status = submit_with_retries(&mut world, follower, &spread_gang("run-1", 2));
+    assert_eq!(status, 422);
+    assert_no_violations(&world);
+}
+
+/// A node whose settings name a lower limit or lack a team, for example because it was not restarted yet, asks the
+/// leader, which places the tasks by its own settings.
+#[test]
+fn the_leader_decides_by_its_own_limits_and_teams() {
+    const OUTDATED_NODE: usize = 1;
+    let mut world = World::new(3, |node| {
+        let mut settings = settings(node, 3, 0.0);
+        let deployment = &mut settings.deployment;
+        deployment.teams = match node {
+            OUTDATED_NODE => vec![team("t", 4.0)],
+            _ => vec![team("t", 0.0), team("new", 0.0)],
+        };
+        settings
+    });
+    for number in 0..4 {
+        world.add_machine(&format!("vm-{number:06}"), "a");
+    }
+    world.crash(OUTDATED_NODE);
+    assert!(world.run_until(20_000, |world| world.leader().is_some()));
+    world.start(OUTDATED_NODE);
+    world.run_for(4_000);
+    let over_the_old_limit = gang_job("run-1", 2);
+    let of_a_new_team = of_team("new", array_job("run-2", 1));
+    for job in [over_the_old_limit, of_a_new_team] {
+        let status = submit_with_retries(&mut world, OUTDATED_NODE, &job);
+        assert_eq!(status, 201, "{}", job.id);
+        assert!(completes_within(&mut world, &job.id, COMPLETION_MS));
+    }
+    // What the leader's settings rule out is refused at every node.
+    for node in 0..3 {
+        let job = of_team("never seen", array_job(&format!("run-3{node}"), 1));
+        assert_eq!(submit_with_retries(&mut world, node, &job), 422);
+    }
+    assert_no_violations(&world);
+}
+
+/// A node that is cut from the state service hands the submission to a peer, which is not the leader. The answer is
+/// the leader's all the same, or the user is asked to try again.
+#[test]
+fn a_submission_that_two_nodes_passed_on_is_not_refused_on_old_types() {
+    let mut world = start_in_zones(&["a"]);
+    let leader = world.leader().expect("leader");
+    let cut_off = follower(&world);
+    let fault = (cut_off, Party::State, ConnectionFault::RequestsLost);
+    world.faults.connection_faults.insert(fault);
+    world.machine_types = vec![machine_type(MACHINE_TYPE, &["a", "b"])];
+    world.cloud_capacity = 4;
+    world.run_for(10_000);
+    let gang = spread_gang("run-1", 2);
+    let status = world.submit(cut_off, &gang, runs_for(500));
+    assert!(matches!(status, 201 | 503), "{status}");
+    world.end_faults();
+    assert_eq!(submit_with_retries(&mut world, leader, &gang) / 100, 2);
+    assert!(completes_within(&mut world, "run-1", COMPLETION_MS));
+    assert_no_violations(&world);
+}
+
+/// A job stays known after the cloud has withdrawn the zone that it needs, and so does one that is over.
+#[test]
+fn an_accepted_job_is_not_refused_when_it_is_submitted_again_after_its_zone_was_withdrawn() {
+    let mut world = start_in_zones(&["a", "b"]);
+    let done = spread_gang("run-1", 2);
+    assert_eq!(submit_with_retries(&mut world, 0, &done), 201);
+    assert!(completes_within(&mut world, "run-1", COMPLETION_MS));
+    let open = spread_gang("run-2", 6);
+    assert_eq!(submit_with_retries(&mut world, 0, &open), 201);
+    world.machine_types = vec![machine_type(MACHINE_TYPE, &["a"])];
+    world.run_for(REREAD_MS);
+    for round in 0..2 {
+        for node in 0..3 {
+            for job in [&done, &open] {
+                let status = submit_with_retries(&mut world, node, job);
+                assert_eq!(status, 200, "round {round}, node {node}, {}", job.id);
+            }
+        }
+        for node in 0..3 {
+            world.crash(node);
+        }
+        for node in 0..3 {
+            world.start(node);
+        }
+        world.run_for(10_000);
+    }
+    // Every node refuses a new one by now.
+    for node in 0..3 {
+        let late = spread_gang(&format!("run-3{node}"), 2);
+        assert_eq!(submit_with_retries(&mut world, node, &late), 422);
+    }
+    assert_no_violations(&world);
+}
+
 /// A type that lists no zones is offered in all zones of the deployment, for admission as for rentals.
 #[test]
 fn a_type_without_zones_is_rented_in_the_zones_of_the_deployment() {
