Reserve and preempt for a spread gang only where its tasks may be placed

What callers saw: beside a gang with `apart` that could not be placed, other jobs waited next to idle machines, for as long as it took for the gang to rest (300 s); and a gang that can run kept machines of one zone, of which it can use half, while those of the zone that it lacked went to others.

Cause: placement counted a gang's tasks by zone; the reservation of draining machines and preemption counted machines in any zone alike, so that they made room that placement then refused.

Evidence, on the code before: a_spread_gang_reserves_no_machines_where_it_cannot_be_placed left: [0, 1] right: [] a_spread_gang_reserves_machines_in_as_many_zones_as_it_needs left: [0, 1] right: [0, 2] a_spread_gang_adds_machines_in_other_zones_to_those_that_it_holds left: [0, 1] right: [1, 2] nothing_is_preempted_for_a_spread_gang_in_a_single_zone left: 2 right: 0 a_gang_that_cannot_be_placed_keeps_no_machine_from_other_jobs assertion failed: completes_within(&mut world, "run-2", COMPLETION_MS)

Change: ZoneRoom counts the tasks chosen for a job by zone; placement of gangs, reservations and preemption use it. Nothing changes for jobs that need not be spread.

Result: the tests above pass.

--- a/crates/control/tests/admission.rs
+++ b/crates/control/tests/admission.rs
@@ -323,6 +323,19 @@
     assert_no_violations(&world);
 }
 
+/// Guards against a gang that can't be placed, accepted by an earlier build or before a zone was withdrawn, that
+/// reserved idle machines and kept other jobs waiting beside them.
+#[test]
+fn a_gang_that_cannot_be_placed_keeps_no_machine_from_other_jobs() {
+    let mut world = start_in_zones(&["a"]);
+    record_open_job(&mut world, spread_gang("run-1", 3));
+    world.run_for(10_000);
+    let job = array_job("run-2", 12);
+    assert_eq!(submit_with_retries(&mut world, 0, &job), 201);
+    assert!(completes_within(&mut world, "run-2", COMPLETION_MS));
+    assert_no_violations(&world);
+}
+
 /// A type that lists no zones is offered in all zones of the deployment, for admission as for rentals.
 #[test]
 fn a_type_without_zones_is_rented_in_the_zones_of_the_deployment() {
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -20,6 +20,7 @@
 //! | `room` | capacity freed or reserved for a job that could not be placed |
 //! | `reservations` | machines reserved for gangs while they drain |
 //! | `preemption` | tasks stopped to make room for other jobs |
+//! | `zone_room` | tasks chosen for a job by zone, within what its zones may take |
 
 mod decision;
 mod gangs;
@@ -32,6 +33,7 @@
 mod room;
 #[cfg(test)]
 mod tests;
+mod zone_room;
 
 use crate::{ClusterSnapshot, Policy, Resources};
 use initial::{earlier_reservations, long_running, queue_usage, smallest_task};
--- a/crates/sched/src/round/gangs.rs
+++ b/crates/sched/src/round/gangs.rs
@@ -4,7 +4,8 @@
 //! those that are booting, and within each group those reserved for the gang, then those not reserved, then those
 //! reserved for gangs of lower rank.
 
-use super::{add_to_zone, Round};
+use super::zone_room::ZoneRoom;
+use super::Round;
 use crate::{MachineSnapshot, Resources};
 
 /// Cost of a machine that is reserved for a gang of lower rank.
@@ -113,20 +114,15 @@
     ) -> Option<Vec<usize>> {
         let needed = self.tasks_left(job) as u32;
         let mut chosen = Vec::new();
-        let mut by_zone: Vec<(usize, u32)> = Vec::new();
+        let mut zone_room = ZoneRoom::new(self, job);
         for candidate in candidates {
             let zone = self.snapshot.machines[candidate.machine].zone;
             if only_zone.is_some_and(|only| only != zone) {
                 continue;
             }
-            let in_zone = by_zone.iter().find(|(z, _)| *z == zone);
-            let in_zone = in_zone.map_or(0, |(_, tasks)| *tasks);
-            let tasks = candidate
-                .tasks
-                .min(self.zone_capacity(job, zone).saturating_sub(in_zone))
-                .min(needed - chosen.len() as u32);
+            let tasks = candidate.tasks.min(needed - chosen.len() as u32);
+            let tasks = zone_room.take(candidate.machine, tasks);
             chosen.extend(std::iter::repeat_n(candidate.machine, tasks as usize));
-            add_to_zone(&mut by_zone, zone, tasks);
         }
         (chosen.len() as u32 == needed).then_some(chosen)
     }
--- a/crates/sched/src/round/preemption.rs
+++ b/crates/sched/src/round/preemption.rs
@@ -1,6 +1,7 @@
 //! Preemption: stops tasks of lower priority, or, for a job within its team's guarantee, tasks of teams that use more
 //! than their own guarantee.
 
+use super::zone_room::ZoneRoom;
 use super::{Decision, Round};
 use crate::{Resources, RunningTask, TeamSnapshot};
 use constants::IMAGE_FETCH_COST_S;
@@ -52,6 +53,7 @@
         if one_zone && !self.retain_one_zone(&mut options, preemptor.needed) {
             return false;
         }
+        self.limit_to_zone_room(job, &mut options);
         if options.iter().map(|option| option.tasks).sum::<u32>() < preemptor.needed {
             return false;
         }
@@ -183,6 +185,15 @@
         }
     }
 
+    /// Reduces the options, in their order, to the tasks that their zones may take.
+    fn limit_to_zone_room(&self, job: usize, options: &mut Vec<PreemptionOption>) {
+        let mut zone_room = ZoneRoom::new(self, job);
+        for option in options.iter_mut() {
+            option.tasks = zone_room.take(option.machine, option.tasks);
+        }
+        options.retain(|option| option.tasks > 0);
+    }
+
     /// Retains the options of the first zone that has room for all tasks; false if no zone has.
     fn retain_one_zone(&self, options: &mut Vec<PreemptionOption>, needed: u32) -> bool {
         let zone_of = |option: &PreemptionOption| self.snapshot.machines[option.machine].zone;
--- a/crates/sched/src/round/reservations.rs
+++ b/crates/sched/src/round/reservations.rs
@@ -1,5 +1,6 @@
 //! Reservation of machines for gangs, so that draining machines do not fill up with small tasks before the gang fits.
 
+use super::zone_room::ZoneRoom;
 use super::{Decision, Round};
 use constants::GANG_RESERVED_FLEET_DIVISOR;
 
@@ -9,8 +10,8 @@
     zone: usize,
     /// Machines that are not reserved yet.
     unreserved: Vec<usize>,
-    /// Number of machines that are already reserved for the gang.
-    reserved: usize,
+    /// Machines that are already reserved for the gang.
+    reserved: Vec<usize>,
 }
 
 impl Round<'_> {
@@ -70,7 +71,7 @@
         let busy_s = |machine: usize| self.snapshot.machines[machine].busy_s;
         let mut best: Option<(f64, Vec<usize>)> = None;
         for group in self.reservable_groups(job) {
-            let reserved = group.reserved;
+            let reserved = group.reserved.len();
             let Some(chosen) = self.soonest_drained(job, group) else {
                 continue;
             };
@@ -104,12 +105,12 @@
                 groups.push(ReservableGroup {
                     zone,
                     unreserved: Vec::new(),
-                    reserved: 0,
+                    reserved: Vec::new(),
                 });
                 groups.len() - 1
             });
             if own {
-                groups[at].reserved += 1;
+                groups[at].reserved.push(machine);
             } else {
                 groups[at].unreserved.push(machine);
             }
@@ -120,23 +121,29 @@
     /// The machines of a group that drain soonest, as many as the gang needs besides those reserved; `None` if there
     /// are too few.
     fn soonest_drained(&self, job: usize, group: ReservableGroup) -> Option<Vec<usize>> {
-        let tasks = self.tasks_left(job);
+        let tasks = self.tasks_left(job) as u32;
         let task = &self.snapshot.jobs[job].task_resources;
         let capacity = |machine: usize| {
             let total = &self.snapshot.machines[machine].total;
-            total.capacity_for(task, tasks as u32) as usize
+            total.capacity_for(task, tasks)
         };
         let busy_s = |machine: usize| self.snapshot.machines[machine].busy_s;
         let mut machines = group.unreserved;
         machines.sort_by(|&a, &b| busy_s(a).total_cmp(&busy_s(b)));
-        let mut lacking = tasks.saturating_sub(group.reserved);
+        let mut zone_room = ZoneRoom::new(self, job);
+        let reserved = group.reserved.into_iter();
+        let held: u32 = reserved.map(|machine| zone_room.take(machine, 1)).sum();
+        let mut lacking = tasks.saturating_sub(held);
         let mut chosen = Vec::new();
         for machine in machines {
             if lacking == 0 {
                 break;
             }
-            lacking = lacking.saturating_sub(capacity(machine));
-            chosen.push(machine);
+            let taken = zone_room.take(machine, capacity(machine).min(lacking));
+            lacking -= taken;
+            if taken > 0 {
+                chosen.push(machine);
+            }
         }
         (lacking == 0).then_some(chosen)
     }
--- a/crates/sched/src/round/tests.rs
+++ b/crates/sched/src/round/tests.rs
@@ -1,5 +1,7 @@
 //! Decisions of a round over small snapshots.
 
+mod spread_gangs;
+
 use super::{Decision, Round};
 use crate::{
     ClusterSnapshot, JobSnapshot, MachineSnapshot, Policy, ResourceBounds, Resources, RunningTask,
