Tests: late copies of orders, for tasks that were done, moved or cancelled in between

Change: in the simulated cluster every message that carries orders can be copied (Faults::order_copy_delays_ms): direct orders, answers to heartbeats, and heartbeats and answers that controllers pass on; a copy reaches whichever process runs then. The workers already followed PROTOCOL in what they forget and when. A direct start breaks a rule in every scenario from now on (direct_start).

Result: it can't happen here. Starts leave in answers to heartbeats only; a worker takes one answer to the one heartbeat it has in flight.

--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -3,8 +3,10 @@
 #![allow(dead_code)] // Each test file uses only some of these functions.
 
 use fakes::{TaskBehaviour, World};
-use vetchmount_control::settings::{NextLimits, Team};
-use vetchmount_control::Settings;
+use vetchmount_control::settings::{
+    Finalization, NextLimits, PartitionSettings, PinSettings, RolloutSettings, Team,
+};
+use vetchmount_control::{Operator, Settings};
 use wire::records::*;
 use wire::users::{Phase, Submission};
 
@@ -93,6 +95,28 @@
     world
 }
 
+/// Operator settings with staged upgrades, whose finalization is held, and partitions.
+pub fn partitions_operator(pins: Vec<PinSettings>) -> Operator {
+    let rollout = RolloutSettings {
+        finalize: Finalization::Held,
+        ..RolloutSettings::default()
+    };
+    Operator {
+        rollout: Some(rollout),
+        partitions: Some(PartitionSettings { pins }),
+        ..Operator::default()
+    }
+}
+
+/// Restarts all controllers with these operator settings.
+pub fn restart_all(world: &mut World, operator: &Operator) {
+    for node in 0..world.node_count() {
+        world.set_operator(node, operator.clone());
+        world.crash(node);
+        world.start(node);
+    }
+}
+
 /// A team without guaranteed resources that may use up to `gpus_max` GPUs (0: no limit).
 pub fn team(name: &str, gpus_max: f64) -> Team {
     Team {
--- a/crates/control/tests/partitions.rs
+++ b/crates/control/tests/partitions.rs
@@ -8,7 +8,7 @@
 use common::*;
 use fakes::{array_job, gang_job, ConnectionFault, DuplicateTarget, Party, TaskBehaviour, World};
 use std::collections::{BTreeMap, BTreeSet};
-use vetchmount_control::settings::{Finalization, PartitionSettings, PinSettings, RolloutSettings};
+use vetchmount_control::settings::{PinSettings, RolloutSettings};
 use vetchmount_control::Operator;
 use wire::records::*;
 use wire::users::Phase as JobPhase;
@@ -23,19 +23,6 @@
 /// controller.
 const REBALANCE_MS_MAX: u64 = 90_000;
 
-/// Operator settings with staged upgrades, whose finalization is held, and partitions.
-fn operator(pins: Vec<PinSettings>) -> Operator {
-    let rollout = RolloutSettings {
-        finalize: Finalization::Held,
-        ..RolloutSettings::default()
-    };
-    Operator {
-        rollout: Some(rollout),
-        partitions: Some(PartitionSettings { pins }),
-        ..Operator::default()
-    }
-}
-
 /// Settings under which idle machines stay rented instead of being returned.
 fn settings_keeping_idle_machines(node: usize, nodes: usize) -> vetchmount_control::Settings {
     let mut settings = settings(node, nodes, 0.0);
@@ -43,15 +30,6 @@
     settings
 }
 
-/// Restarts all controllers with these operator settings.
-fn restart_all(world: &mut World, operator: &Operator) {
-    for node in 0..world.node_count() {
-        world.set_operator(node, operator.clone());
-        world.crash(node);
-        world.start(node);
-    }
-}
-
 /// The same settings with a heartbeat interval so long that an owner forwards the next heartbeat of a
 /// steady machine only after `cancel_s`.
 fn settings_with_rare_heartbeats(node: usize, nodes: usize) -> vetchmount_control::Settings {
@@ -71,7 +49,7 @@
     settings: fn(usize, usize) -> vetchmount_control::Settings,
 ) -> World {
     let mut world = World::new(nodes, |node| settings(node, nodes));
-    restart_all(&mut world, &operator(Vec::new()));
+    restart_all(&mut world, &partitions_operator(Vec::new()));
     for machine in 0..MACHINE_COUNT {
         world.add_machine(
             &machine_name(machine),
@@ -327,7 +305,7 @@
 #[test]
 fn a_single_controller_owns_all_partitions() {
     let mut world = World::new(1, |node| settings_keeping_idle_machines(node, 1));
-    restart_all(&mut world, &operator(Vec::new()));
+    restart_all(&mut world, &partitions_operator(Vec::new()));
     for machine in 0..MACHINE_COUNT {
         world.add_machine(&machine_name(machine), "a");
     }
@@ -866,7 +844,7 @@
         },
     ];
     let mut world = World::new(3, |node| settings_keeping_idle_machines(node, 3));
-    restart_all(&mut world, &operator(pins));
+    restart_all(&mut world, &partitions_operator(pins));
     for machine in 0..MACHINE_COUNT {
         world.add_machine(&machine_name(machine), "a");
     }
@@ -907,7 +885,7 @@
     let none_granted = |world: &mut World| (0..3).all(|n| granted_partition_count(world, n) == 0);
     assert!(world.run_until(20_000, none_granted));
     world.run_for(20_000);
-    world.set_operator(node, operator(Vec::new()));
+    world.set_operator(node, partitions_operator(Vec::new()));
     world.crash(node);
     world.start(node);
     assert_recovery(&mut world, &["run-1"], &[]);
@@ -922,7 +900,7 @@
     record.partition_count = 32;
     world.state_service.write(&key, &record, None);
     let version = world.state_service.version(&key);
-    restart_all(&mut world, &operator(Vec::new()));
+    restart_all(&mut world, &partitions_operator(Vec::new()));
     world.run_for(60_000);
     assert_eq!(world.state_service.version(&key), version);
     assert!((0..3).all(|n| granted_partition_count(&world, n) == 0));
--- a/crates/fakes/src/events.rs
+++ b/crates/fakes/src/events.rs
@@ -14,6 +14,8 @@
         process_epoch: u64,
         input: Input,
     },
+    /// A late copy of a peer's message, for the process of the node that runs when it arrives.
+    PeerCopy { node: usize, input: Input },
     /// A request to the state service.
     ToState(Call),
     /// A request of a node to the cloud.
@@ -23,7 +25,7 @@
         path: String,
         body: Vec<u8>,
     },
-    /// Orders that a node sends to a worker's own address.
+    /// Orders that a node sends to a worker's own address, or a late copy of them.
     ToWorker {
         from: usize,
         machine: String,
--- a/crates/fakes/src/faults.rs
+++ b/crates/fakes/src/faults.rs
@@ -64,6 +64,10 @@
     /// Share of workers' reports that are duplicated, and the destination of the duplicates. Unless it is the next
     /// leader, a duplicate is delayed by 2 s up to 2 s plus one and a half leases.
     pub duplicate_reports: Option<(f64, DuplicateTarget)>,
+    /// Delays in milliseconds after which copies of messages that carry orders arrive once more: direct orders, responses
+    /// to reports, and the reports and responses that controllers forward for each other. Each message is copied once
+    /// for each delay. A copy reaches whichever process then runs at its destination.
+    pub order_copy_delays_ms: Vec<u64>,
     /// Time until which direct orders and responses to a machine are delayed. They are then delivered in order.
     pub messages_delayed_until: BTreeMap<String, u64>,
     /// One-way failures between a controller and a party. Direct orders to workers are lost like responses.
--- a/crates/fakes/src/network.rs
+++ b/crates/fakes/src/network.rs
@@ -8,7 +8,7 @@
 use crate::{ConnectionFault, Party, World, MESSAGE_DELAY_MS};
 use control::{CallError, CallTarget, Input, Node, Output};
 use wire::peers::PeerMessage;
-use wire::workers::{HeartbeatResponse, Order};
+use wire::workers::{DirectOrders, HeartbeatResponse, Order};
 
 impl World {
     /// Sends all pending outputs of a node.
@@ -92,13 +92,16 @@
         }
         if let Some((machine, seq)) = reporter {
             self.check_starts(&machine, &body);
-            let event = Event::ReportResponse {
-                machine,
+            let event = || Event::ReportResponse {
+                machine: machine.clone(),
                 seq,
                 status,
-                body,
+                body: body.clone(),
             };
-            self.schedule(self.now + MESSAGE_DELAY_MS, event);
+            self.schedule(self.now + MESSAGE_DELAY_MS, event());
+            for delay_ms in self.faults.order_copy_delays_ms.clone() {
+                self.schedule(self.now + delay_ms, event());
+            }
             return;
         }
         // Without Retry-After, refused users retry after a second, however many users there are.
@@ -146,9 +149,37 @@
             return;
         }
         let machine = addr.split(':').next().unwrap_or_default().to_string();
-        let event = Event::ToWorker {
+        self.check_direct_orders(&machine, &body);
+        let event = || Event::ToWorker {
             from: node,
-            machine,
+            machine: machine.clone(),
+            body: body.clone(),
+        };
+        self.schedule(self.now + MESSAGE_DELAY_MS, event());
+        for delay_ms in self.faults.order_copy_delays_ms.clone() {
+            self.schedule(self.now + delay_ms, event());
+        }
+    }
+
+    /// Checks that direct orders start nothing. A late copy of a direct start would be executed after the worker has
+    /// forgotten the attempt.
+    fn check_direct_orders(&mut self, machine: &str, body: &[u8]) {
+        let direct = wire::decode::<DirectOrders>(body);
+        for order in direct.into_iter().flat_map(|direct| direct.orders) {
+            if let Order::Start { task, attempt } = order {
+                let violation = format!("direct_start {task} try {attempt} on {machine}");
+                self.violations.push(format!("{violation} at {}", self.now));
+            }
+        }
+    }
+
+    /// Sends orders to a worker's own address, as another program that holds a controller's term could.
+    pub fn send_direct_orders(&mut self, machine: &str, orders: &DirectOrders) {
+        let body = wire::encode(orders);
+        self.check_direct_orders(machine, &body);
+        let event = Event::ToWorker {
+            from: 0,
+            machine: machine.to_string(),
             body,
         };
         self.schedule(self.now + MESSAGE_DELAY_MS, event);
@@ -169,6 +200,15 @@
             };
             let late_ms =
                 self.random_up_to(self.faults.max_frame_delay_ms.get(&(from, peer)).copied());
+            if carries_orders(message) {
+                for delay_ms in self.faults.order_copy_delays_ms.clone() {
+                    let copy = Event::PeerCopy {
+                        node: peer,
+                        input: input.clone(),
+                    };
+                    self.schedule(self.now + delay_ms, copy);
+                }
+            }
             self.schedule_input(self.now + MESSAGE_DELAY_MS + late_ms, peer, input);
         }
     }
@@ -192,6 +232,11 @@
                 process_epoch,
                 input,
             } => self.deliver_input(node, process_epoch, input),
+            Event::PeerCopy { node, input } => {
+                self.delivered_peer_copies += 1;
+                let process_epoch = self.nodes[node].process_epoch;
+                self.deliver_input(node, process_epoch, input);
+            }
             Event::ToState(call) => self.serve_state(call),
             Event::ToCloud {
                 sender,
@@ -242,3 +287,11 @@
         self.send_outputs(node);
     }
 }
+
+/// Whether a message between controllers carries a worker's report or the response to it.
+fn carries_orders(message: &PeerMessage) -> bool {
+    matches!(
+        message,
+        PeerMessage::Forward { .. } | PeerMessage::Forwarded { .. }
+    )
+}
--- a/crates/fakes/src/network/workers.rs
+++ b/crates/fakes/src/network/workers.rs
@@ -43,6 +43,7 @@
             is_connected && self.now >= worker.disconnected_until && !worker.receives_nothing;
         if is_reached && direct.term >= worker.term && direct.incarnation == worker.incarnation {
             worker.term = direct.term;
+            self.executed_direct_orders += 1;
             self.execute_orders(&machine, &direct.orders);
         }
     }
--- a/crates/fakes/src/world.rs
+++ b/crates/fakes/src/world.rs
@@ -89,6 +89,10 @@
     pub counted_txns: u64,
     /// Number of the counted transaction at which its sender crashes, and whether the transaction is executed.
     pub crash_at_counted_txn: Option<(u64, bool)>,
+    /// Number of messages with direct orders that workers have executed, late copies included.
+    pub executed_direct_orders: u64,
+    /// Number of late copies of peers' messages that have reached a controller.
+    pub delivered_peer_copies: u64,
     /// Number of pages of the machine list that the cloud has served.
     pub served_list_pages: u64,
     /// Range of the boot time of a rented machine in milliseconds.
@@ -151,6 +155,8 @@
             counted_txns: 0,
             crash_at_counted_txn: None,
             turns: None,
+            executed_direct_orders: 0,
+            delivered_peer_copies: 0,
             served_list_pages: 0,
             boot_ms: 2_000..=2_000,
             faults: Faults::default(),
