An ended attempt in a worker's report no longer hides the running one

A worker lists all attempts until they are forgotten.

Cause: the tasks of a report were indexed by job and number, so that of several attempts only the last counted.

Change: tasks of a report are indexed by job, number and attempt; an assignment looks for its own attempt, and every other attempt that runs is an orphan.

--- a/crates/control/src/leader/worker_heartbeats/orphans.rs
+++ b/crates/control/src/leader/worker_heartbeats/orphans.rs
@@ -31,13 +31,13 @@
 
     fn find_orphans(&self, machine: &str, listed: &ListedTasks) -> Orphans {
         let mut orphans = Orphans::new();
-        for ((id, task), status) in listed {
+        for ((id, task, attempt), status) in listed {
             let assignment = self.jobs.get(id).and_then(|job| job.assignment(*task));
             let is_assigned = assignment.is_some_and(|assignment| {
-                assignment.machine == machine && assignment.attempt == status.attempt
+                assignment.machine == machine && assignment.attempt == *attempt
             });
             if !is_assigned && status.phase != TaskPhase::Ended {
-                orphans.insert((id.clone(), *task, status.attempt));
+                orphans.insert((id.clone(), *task, *attempt));
             }
         }
         orphans
--- a/crates/control/src/leader/worker_heartbeats/reconciliation.rs
+++ b/crates/control/src/leader/worker_heartbeats/reconciliation.rs
@@ -8,8 +8,8 @@
 use std::collections::BTreeMap;
 use wire::workers::{EndCause, TaskPhase, TaskStatus, WorkerHeartbeat};
 
-/// Tasks that a heartbeat lists, by job and task number.
-pub(super) type ListedTasks<'a> = BTreeMap<(String, u32), &'a TaskStatus>;
+/// Tasks that a heartbeat lists, by job, task number and attempt. A worker may list several attempts of a task.
+pub(super) type ListedTasks<'a> = BTreeMap<(String, u32, u64), &'a TaskStatus>;
 
 impl Leader {
     /// Reconciles the machine's assignments and orphans with a heartbeat that has this leader's term. Returns whether
@@ -104,10 +104,8 @@
             }
             return;
         };
-        let status = listed
-            .get(&key)
-            .filter(|status| status.attempt == assignment.attempt);
-        match status {
+        let (job, task) = key;
+        match listed.get(&(job, task, assignment.attempt)) {
             Some(status) if status.phase == TaskPhase::Ended => {
                 let cause = status.cause.unwrap_or(EndCause::Other);
                 self.on_task_ended(id, task, name, cause, now);
@@ -118,12 +116,12 @@
     }
 }
 
-/// Indexes tasks by job and task number. Tasks whose names can't be parsed are left out.
+/// Indexes tasks by job, task number and attempt. Tasks whose names can't be parsed are left out.
 fn index_tasks(tasks: &[TaskStatus]) -> ListedTasks<'_> {
     let mut listed = ListedTasks::new();
     for status in tasks {
         if let Some((job, task)) = parse_task_name(&status.task) {
-            listed.insert((job.to_string(), task), status);
+            listed.insert((job.to_string(), task, status.attempt), status);
         }
     }
     listed
