An attempt is not forgotten while a copy of the answer with its start may arrive

Cause: `reap` went out as soon as the end of a task was recorded. From then on a copy of the answer that carried its `launch` would start the attempt again. PROTOCOL has workers drop an answer 4 s after the report, of an earlier session or under a lower token; it doesn't say that one is taken only once.

Change: the leader remembers the starts that it sent to a machine within the last 4 s (and the drift of clocks), and leaves such attempts in the reports until the next one after that. A known attempt is not started again.

Why it works: a copy is dropped after 4 s, after a new session, or under an earlier leader's term; until then the worker knows the attempt. Direct orders, which are executed however late, never start anything (a rule in every scenario).

--- a/crates/control/src/leader/model/machine.rs
+++ b/crates/control/src/leader/model/machine.rs
@@ -1,8 +1,12 @@
 //! The leader's knowledge of a machine and its worker.
 
+use constants::{CLOCK_DRIFT_FACTOR, WORKER_REPORT_TIMEOUT_MS};
 use std::collections::{BTreeMap, BTreeSet};
 use wire::partitions::PartitionId;
 
+/// Milliseconds after which a worker takes no copy of an answer any more, by its own clock.
+const ANSWER_LIFETIME_MS: u64 = (WORKER_REPORT_TIMEOUT_MS as f64 * CLOCK_DRIFT_FACTOR) as u64 + 1;
+
 /// Number of completed tasks from which a machine can be judged to be slow.
 const MIN_RUN_TIME_SAMPLES: u32 = 2;
 
@@ -67,6 +71,8 @@
     pub cached_images: BTreeMap<String, (u64, f64)>,
     /// Tasks assigned to the machine, by job and number.
     pub assignments: BTreeSet<(String, u32)>,
+    /// When starts were sent to the worker in answers that it may still take, by task name and attempt.
+    pub recent_starts: BTreeMap<(String, u64), u64>,
     /// Tasks that the machine runs without a record, by job, number and attempt.
     pub orphans: BTreeSet<(String, u32, u64)>,
     /// Jobs that failed on the machine, with none completing there since.
@@ -127,6 +133,7 @@
             has_deferred_answer: false,
             cached_images: BTreeMap::new(),
             assignments: BTreeSet::new(),
+            recent_starts: BTreeMap::new(),
             orphans: BTreeSet::new(),
             failed_jobs: BTreeSet::new(),
             relative_run_times: (0.0, 0),
@@ -165,6 +172,20 @@
             && delegated_until().is_none_or(answered_long_ago)
     }
 
+    /// Records that a start is sent now, in an answer to a heartbeat.
+    pub fn record_start(&mut self, task: &str, attempt: u64, now: u64) {
+        self.recent_starts
+            .retain(|_, sent_at| now <= *sent_at + ANSWER_LIFETIME_MS);
+        self.recent_starts.insert((task.to_string(), attempt), now);
+    }
+
+    /// Whether the worker may still execute a start of the attempt, from a copy of an answer that it has taken. It has no
+    /// effect as long as the worker knows the attempt.
+    pub fn may_execute_start(&self, task: &str, attempt: u64, now: u64) -> bool {
+        let sent_at = self.recent_starts.get(&(task.to_string(), attempt));
+        sent_at.is_some_and(|sent_at| now <= *sent_at + ANSWER_LIFETIME_MS)
+    }
+
     /// Whether tasks may be started on the machine: it is neither being drained nor returned.
     pub fn accepts_starts(&self) -> bool {
         self.draining.is_none() && !self.returning
--- a/crates/control/src/leader/worker_heartbeats/orders.rs
+++ b/crates/control/src/leader/worker_heartbeats/orders.rs
@@ -25,7 +25,7 @@
         let may_start = authority.is_active && machine.accepts_starts();
         let mut orders: Vec<Order> = listed
             .iter()
-            .filter_map(|status| self.order_for_listed_task(name, status))
+            .filter_map(|status| self.order_for_listed_task(name, status, now.mono))
             .take(ORDERS_PER_ANSWER_MAX)
             .collect();
         if may_start {
@@ -35,7 +35,7 @@
     }
 
     /// The order for a task that a machine's heartbeat lists, if it needs one.
-    fn order_for_listed_task(&self, machine: &str, status: &TaskStatus) -> Option<Order> {
+    fn order_for_listed_task(&self, machine: &str, status: &TaskStatus, now: u64) -> Option<Order> {
         let (id, task) = parse_task_name(&status.task)?;
         let job = self.jobs.get(id);
         let assignment = job
@@ -44,9 +44,13 @@
                 assignment.machine == machine && assignment.attempt == status.attempt
             });
         match (status.phase, assignment) {
-            // A worker may forget the result of an ended task only once the result is recorded.
+            // A worker may forget the result of an ended task only once the result is recorded, and once no copy of the
+            // answer with its start can reach the worker any more: that would start the attempt again.
             (TaskPhase::Ended, None) if job.is_none_or(|job| job.is_chunk_saved(task)) => {
-                Some(forget_order(status))
+                let entry = self.machines.get(machine);
+                let may_start_again =
+                    entry.is_some_and(|m| m.may_execute_start(&status.task, status.attempt, now));
+                (!may_start_again).then(|| forget_order(status))
             }
             (TaskPhase::Ended, _) => None,
             (_, None) => Some(stop_order(&status.task, status.attempt, 0.0)),
@@ -110,8 +114,9 @@
     ) -> Option<Order> {
         let known_until = self.uncancelled_until(id, authority);
         let known_ago_ms = authority.determined_at.saturating_sub(known_until);
-        let machine = self.machines.get(name)?;
+        let machine = self.machines.get_mut(name)?;
         let assignment = self.jobs.get_mut(id)?.assignment_mut(task)?;
+        machine.record_start(&task_name(id, task), assignment.attempt, now);
         let latency_ms = now.saturating_sub(assignment.decided_at);
         self.start_latencies.sent.add(latency_ms);
         log::debug!(
--- a/crates/control/tests/late_order_copies.rs
+++ b/crates/control/tests/late_order_copies.rs
@@ -3,6 +3,7 @@
 //!
 //! Workers follow the protocol to the letter. An order to start an attempt has no effect while the worker knows the
 //! attempt, in any state. The worker forgets an attempt when it is ordered to, and all attempts when its lease expires.
+//! It drops an answer 4 s after its heartbeat, and answers of an earlier session or a lower term, but not a second copy.
 //!
 //! `SEEDS=200` plays that many drawn scenarios instead of the default, `FROM=1000` sets the first seed.
 
--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -103,7 +103,7 @@
             }
             let machine_type = worker.machine_type.clone();
             let report = worker.report(&machine_type, now);
-            worker.report_in_flight = Some((now, worker.seq));
+            worker.record_sent_report(now);
             worker.next_report_at = now + report_interval_ms;
             if has_connection_fault(worker.node, ConnectionFault::Refused) {
                 try_next_node(worker, self.nodes.len(), now);
--- a/crates/fakes/src/network/workers.rs
+++ b/crates/fakes/src/network/workers.rs
@@ -87,8 +87,7 @@
         let Some(worker) = self.workers.get_mut(machine) else {
             return;
         };
-        let in_flight = worker.report_in_flight;
-        let Some((sent, _)) = in_flight.filter(|(_, number)| *number == seq) else {
+        let Some(sent) = worker.report_sent_at(seq) else {
             return;
         };
         if now < worker.disconnected_until
@@ -97,6 +96,10 @@
         {
             return;
         }
+        let in_flight = worker.report_in_flight;
+        if in_flight.is_none_or(|(_, number)| number != seq) {
+            return self.on_copied_response(machine, status, body);
+        }
         if worker.responses_to_lose > 0 {
             worker.responses_to_lose -= 1;
             return;
@@ -108,6 +111,18 @@
         }
     }
 
+    /// Handles a copy of a response that the worker has taken before, within the time in which it does not drop it. The
+    /// protocol does not say that a worker takes a response only once.
+    fn on_copied_response(&mut self, machine: &str, status: u16, body: &[u8]) {
+        let Ok(response) = wire::decode::<HeartbeatResponse>(body) else {
+            return;
+        };
+        let worker = self.workers.get(machine);
+        if status == 200 && worker.is_some_and(|worker| response.term >= worker.term) {
+            self.execute_orders(machine, &response.orders);
+        }
+    }
+
     /// Handles the response of a leader or an owner to the report that was sent at `sent`.
     fn on_heartbeat_response(&mut self, machine: &str, sent: u64, body: &[u8]) {
         let Ok(response) = wire::decode::<HeartbeatResponse>(body) else {
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -3,6 +3,7 @@
 mod orders;
 mod progress;
 
+use crate::fleet::REPORT_TIMEOUT_MS;
 use crate::MACHINE_TYPE;
 use std::collections::{BTreeMap, BTreeSet};
 use wire::workers::{EndCause, TaskPhase, TaskStatus, WorkerHeartbeat};
@@ -68,6 +69,8 @@
     pub node: usize,
     /// Time at which the next report is due.
     pub next_report_at: u64,
+    /// Send times of the session's recent reports, by sequence number.
+    recent_reports: BTreeMap<u64, u64>,
     /// Send time and sequence number of the report that awaits a response.
     pub report_in_flight: Option<(u64, u64)>,
     /// Start of the current lease: send time of the last answered report, or start of the session.
@@ -122,6 +125,7 @@
             tasks: BTreeMap::new(),
             node: 0,
             next_report_at: now,
+            recent_reports: BTreeMap::new(),
             report_in_flight: None,
             lease_start: now,
             disconnected_until: 0,
@@ -194,6 +198,19 @@
         }
     }
 
+    /// Records that the report with the current sequence number is sent now.
+    pub(crate) fn record_sent_report(&mut self, now: u64) {
+        self.report_in_flight = Some((now, self.seq));
+        self.recent_reports
+            .retain(|_, sent| now <= *sent + REPORT_TIMEOUT_MS);
+        self.recent_reports.insert(self.seq, now);
+    }
+
+    /// When the report with this sequence number was sent in the current session, unless that was long ago.
+    pub(crate) fn report_sent_at(&self, seq: u64) -> Option<u64> {
+        self.recent_reports.get(&seq).copied()
+    }
+
     /// Attempts that have their image and have not ended.
     pub fn active_tasks(&self) -> impl Iterator<Item = (&String, u64)> {
         let is_live =
@@ -211,6 +228,7 @@
             self.tasks.clear();
             self.incarnation += 1;
             self.lease_start = now;
+            self.recent_reports.clear();
             self.report_in_flight = None;
         }
         if now < self.hung_until {
