--- a/crates/control/src/gateway/admission.rs
+++ b/crates/control/src/gateway/admission.rs
@@ -5,7 +5,7 @@
 use crate::offers::{allows_type, allows_zone, offered_zones, task_resources};
 use crate::settings::{Deployment, Team};
 use constants::MACHINE_TYPES_RECENT_MS;
-use sched::{max_tasks_per_zone, required_zones, ResourceBounds, TeamSnapshot};
+use sched::{max_tasks_per_zone, required_zones, TeamSnapshot};
 use std::collections::BTreeSet;
 use wire::cloud::MachineType;
 use wire::users::{is_job_id, Shape, Submission};
@@ -75,7 +75,7 @@
             return Err(Rejection::UnknownTeam(spec.team.clone()));
         };
         let idle_team = TeamSnapshot {
-            limit: ResourceBounds::from_settings(team.cpus_max, team.gpus_max),
+            limit: team.limit(),
             ..TeamSnapshot::default()
         };
         let needed = task_resources(spec).times(f64::from(tasks_at_once(spec)));
--- a/crates/control/src/leader/consolidation/demand.rs
+++ b/crates/control/src/leader/consolidation/demand.rs
@@ -4,7 +4,7 @@
 use crate::leader::model::{Job, Machine};
 use crate::leader::Leader;
 use crate::offers::{allows_type, allows_zone, offered_zones, type_resources};
-use sched::Resources;
+use sched::{Resources, TeamSnapshot};
 use std::collections::HashMap;
 use wire::cloud::MachineType;
 
@@ -78,15 +78,16 @@
             return false;
         };
         let used = usage.get(job.spec.team.as_str());
-        let used = used.copied().unwrap_or_default();
+        let current = TeamSnapshot {
+            limit: team.limit(),
+            used: used.copied().unwrap_or_default(),
+            ..TeamSnapshot::default()
+        };
         let tasks = match job.is_gang() {
             true => job.spec.tasks as f64,
             false => 1.0,
         };
-        // 0 means no limit.
-        let exceeds = |limit: f64, used: f64, task: f64| limit > 0.0 && used + task * tasks > limit;
-        exceeds(team.cpus_max, used.cpus, job.spec.cpus)
-            || exceeds(team.gpus_max, used.gpus, job.spec.gpus)
+        !current.is_within_limit(&job.task_resources().times(tasks))
     }
 }
 
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -7,6 +7,7 @@
 //! | --- | --- |
 //! | `costs` | accounting of the cost of machines, by what they were used for |
 //! | `listing` | reconciliation with the cloud's list of machines |
+//! | `type_listing` | listings of the machine types |
 //! | `returns` | scale-in: machines to return |
 //! | `renting` | scale-out: rental requests |
 //! | `replies` | replies from the cloud |
@@ -16,13 +17,15 @@
 mod renting;
 mod replies;
 mod returns;
+mod type_listing;
 
 pub(super) use costs::CostAccount;
+pub(super) use listing::MachineListing;
+pub(super) use type_listing::TypeListing;
 
 use super::{Leader, StartLatencies};
 use crate::effects::{Effects, Now};
-use crate::requests::{CloudOp, CloudPurpose};
-use constants::{MACHINE_TYPES_INTERVAL_S, REMOVED_MACHINE_RETENTION_MS, SILENCE_MARGIN_MS};
+use constants::{REMOVED_MACHINE_RETENTION_MS, SILENCE_MARGIN_MS};
 
 /// Milliseconds between two summaries in the log.
 const SUMMARY_INTERVAL_MS: u64 = 15_000;
@@ -61,23 +64,6 @@
         (report_s * HEARTBEAT_TIMEOUT_MS_PER_REPORT_S) as u64 + SILENCE_MARGIN_MS
     }
 
-    fn request_machine_types(&mut self, effects: &mut Effects) {
-        if effects.now.mono >= self.next_type_listing_at {
-            self.list_machine_types_now(effects);
-        }
-    }
-
-    /// Requests the machine types from the cloud, unless a request is in flight already or the recorded types have not
-    /// been read yet.
-    pub fn list_machine_types_now(&mut self, effects: &mut Effects) {
-        if !self.is_ready() || self.type_listing_in_flight {
-            return;
-        }
-        self.type_listing_in_flight = true;
-        self.next_type_listing_at = effects.now.mono + (MACHINE_TYPES_INTERVAL_S * 1000.0) as u64;
-        self.send_cloud_request(CloudOp::Types, CloudPurpose::Types, effects);
-    }
-
     /// Forgets machines that were removed so long ago that no delayed heartbeat or listing can still name them.
     fn expire_departed(&mut self, now: Now) {
         let list_lag_s = self.settings.deployment.cloud.list_lag_s;
--- a/crates/control/src/leader/fleet/listing.rs
+++ b/crates/control/src/leader/fleet/listing.rs
@@ -5,6 +5,7 @@
 use crate::leader::Leader;
 use crate::requests::{CloudOp, CloudPurpose};
 use constants::{MACHINE_LIST_INTERVAL_S, MACHINE_LIST_PAGE_SIZE, MACHINE_LIST_RATE_SHARE};
+use std::collections::BTreeSet;
 use wire::cloud::{ListedMachine, MachineList, MachinePhase};
 
 /// Milliseconds, per second of the list's maximum lag, after which a machine must be listed: twice the lag.
@@ -12,16 +13,43 @@
 /// Milliseconds added to that time for the request and its reply.
 const LISTING_DUE_EXTRA_MS: u64 = 1_000;
 
+/// Progress of the listings of the machines.
+#[derive(Default)]
+pub(in crate::leader) struct MachineListing {
+    /// When the next listing is due.
+    next_at: u64,
+    /// When the listing under way began.
+    started_at: Option<u64>,
+    /// Machines that the listing under way has returned so far.
+    listed: BTreeSet<String>,
+    /// When the last complete listing was requested.
+    last_requested_at: u64,
+    /// Whether the machines have been listed completely at least once in this term.
+    has_completed: bool,
+}
+
+impl MachineListing {
+    /// Whether the machines have been listed completely at least once in this term.
+    pub fn has_completed(&self) -> bool {
+        self.has_completed
+    }
+
+    /// Gives up the listing under way, since a request for one of its pages failed.
+    pub fn abandon(&mut self) {
+        self.started_at = None;
+    }
+}
+
 impl Leader {
     /// Requests the first page of the list when it is due and no listing is in progress.
     pub(super) fn request_listing(&mut self, effects: &mut Effects) {
         let now = effects.now.mono;
-        if now < self.next_listing_at || self.listing_started_at.is_some() {
+        if now < self.machine_listing.next_at || self.machine_listing.started_at.is_some() {
             return;
         }
-        self.next_listing_at = now + (self.listing_interval_s() * 1000.0) as u64;
-        self.listing_started_at = Some(now);
-        self.listed_machines.clear();
+        self.machine_listing.next_at = now + (self.listing_interval_s() * 1000.0) as u64;
+        self.machine_listing.started_at = Some(now);
+        self.machine_listing.listed.clear();
         let op = CloudOp::List {
             from: String::new(),
         };
@@ -57,7 +85,7 @@
     }
 
     fn on_listed(&mut self, listed: ListedMachine, now: Now) {
-        self.listed_machines.insert(listed.name.clone());
+        self.machine_listing.listed.insert(listed.name.clone());
         if self.departed_machines.contains_key(&listed.name) {
             return;
         }
@@ -83,17 +111,18 @@
     /// Ends a listing. Counts a missed listing for each machine that must be listed by now and is not, which means that
     /// the cloud has removed the machine.
     fn on_listing_complete(&mut self, requested_at: u64) {
-        self.listing_started_at = None;
-        self.has_complete_listing = true;
-        if requested_at < self.last_listing_at {
+        let listing = &mut self.machine_listing;
+        listing.started_at = None;
+        listing.has_completed = true;
+        if requested_at < listing.last_requested_at {
             return;
         }
-        self.last_listing_at = requested_at;
+        listing.last_requested_at = requested_at;
         let list_lag_s = self.settings.deployment.cloud.list_lag_s;
         let listing_due_ms = (list_lag_s * LISTING_DUE_MS_PER_LAG_S) as u64 + LISTING_DUE_EXTRA_MS;
         for (name, machine) in &mut self.machines {
             let is_due = machine.listed || requested_at > machine.known_since + listing_due_ms;
-            if is_due && !self.listed_machines.contains(name) {
+            if is_due && !listing.listed.contains(name) {
                 machine.missed_listings += 1;
             }
         }
--- a/crates/control/src/leader/fleet/renting.rs
+++ b/crates/control/src/leader/fleet/renting.rs
@@ -112,7 +112,7 @@
         };
         // A new leader reads the list before it rents. Machines rented before its term may still be missing from
         // the list.
-        if !self.has_complete_listing || now.mono < self.next_rental_at {
+        if !self.machine_listing.has_completed() || now.mono < self.next_rental_at {
             return;
         }
         self.next_rental_at = now.mono + HOUSEKEEPING_INTERVAL_MS;
--- a/crates/control/src/leader/fleet/replies.rs
+++ b/crates/control/src/leader/fleet/replies.rs
@@ -1,16 +1,12 @@
 //! Handling of replies from the cloud.
 
-use crate::effects::{Effects, NodeEvent, Now};
+use crate::effects::{Effects, Now};
 use crate::leader::model::Machine;
 use crate::leader::{Leader, OfferBackoff, OfferKey};
 use crate::requests::{CloudOp, CloudPurpose, CloudReply, RecordId};
 use constants::{NO_CAPACITY_BACKOFF_MAX_MS, NO_CAPACITY_BACKOFF_MS};
-use wire::cloud::{MachineType, RentalRequest};
+use wire::cloud::RentalRequest;
 
-/// Milliseconds until the machine types are requested again after a failure, if none are known yet.
-const FIRST_TYPES_RETRY_MS: u64 = 1_000;
-/// Milliseconds until the machine types are requested again after a failure, if those of an earlier reply can be used.
-const TYPES_RETRY_MS: u64 = 10_000;
 /// Milliseconds until a rental that was refused for now, or whose outcome is unknown, is requested again under the same
 /// name.
 const RENTAL_RETRY_MS: u64 = 2_000;
@@ -34,14 +30,7 @@
             (CloudPurpose::Types, CloudReply::Types(types)) => {
                 self.on_machine_types(types, effects)
             }
-            (CloudPurpose::Types, _) => {
-                self.type_listing_in_flight = false;
-                let retry_ms = match self.machine_types.desired.is_some() {
-                    true => TYPES_RETRY_MS,
-                    false => FIRST_TYPES_RETRY_MS,
-                };
-                self.next_type_listing_at = now.mono + retry_ms;
-            }
+            (CloudPurpose::Types, _) => self.on_type_listing_failed(now),
             (
                 CloudPurpose::List {
                     requested_at: asked,
@@ -50,7 +39,7 @@
             ) => {
                 self.on_list_page(asked, page, effects);
             }
-            (CloudPurpose::List { .. }, _) => self.listing_started_at = None,
+            (CloudPurpose::List { .. }, _) => self.machine_listing.abandon(),
             (CloudPurpose::Rent(name), reply) => {
                 if let CloudOp::Rent(rent) = op {
                     self.on_rent_reply(&name, rent, reply, now);
@@ -71,16 +60,6 @@
         }
     }
 
-    fn on_machine_types(&mut self, types: Vec<MachineType>, effects: &mut Effects) {
-        self.type_listing_in_flight = false;
-        effects.emit(NodeEvent::MachineTypesListed(types.clone()));
-        if self.machine_types.desired.as_ref() != Some(&types) {
-            self.machine_types.desired = Some(types);
-            self.queue_write(RecordId::Types);
-            self.round_due = true;
-        }
-    }
-
     fn on_rent_reply(&mut self, name: &str, rent: RentalRequest, reply: CloudReply, now: Now) {
         let Some(rental) = self.rentals.get_mut(name) else {
             return;
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -144,18 +144,8 @@
     offer_backoff: HashMap<OfferKey, OfferBackoff>,
     /// Offers whose last request was filled completely. Such an offer may have several requests at a time.
     filled_offers: BTreeSet<OfferKey>,
-    next_listing_at: u64,
-    next_type_listing_at: u64,
-    /// Whether a listing of the machine types has been requested and not answered.
-    type_listing_in_flight: bool,
-    /// When the machine listing under way began.
-    listing_started_at: Option<u64>,
-    /// Machines that the listing under way has returned so far.
-    listed_machines: BTreeSet<String>,
-    /// When the last complete listing was requested.
-    last_listing_at: u64,
-    /// The machines have been listed completely at least once in this term.
-    has_complete_listing: bool,
+    machine_listing: fleet::MachineListing,
+    type_listing: fleet::TypeListing,
     next_rental_at: u64,
     next_summary_at: u64,
     next_cost_account_at: u64,
@@ -212,13 +202,8 @@
             last_rental_number: 0,
             offer_backoff: HashMap::new(),
             filled_offers: BTreeSet::new(),
-            next_listing_at: 0,
-            next_type_listing_at: 0,
-            type_listing_in_flight: false,
-            listing_started_at: None,
-            listed_machines: BTreeSet::new(),
-            last_listing_at: 0,
-            has_complete_listing: false,
+            machine_listing: fleet::MachineListing::default(),
+            type_listing: fleet::TypeListing::default(),
             next_rental_at: 0,
             next_summary_at: 0,
             next_cost_account_at: 0,
--- a/crates/control/src/leader/planning/snapshot.rs
+++ b/crates/control/src/leader/planning/snapshot.rs
@@ -7,7 +7,7 @@
 use crate::leader::Leader;
 use crate::offers::type_resources;
 use constants::{BOOT_OVERDUE_FACTOR, TASKS_PER_MACHINE_MAX};
-use sched::{ClusterSnapshot, MachineSnapshot, Policy, ResourceBounds, TeamSnapshot};
+use sched::{ClusterSnapshot, MachineSnapshot, Policy, TeamSnapshot};
 use std::collections::HashMap;
 use wire::cloud::MachineType;
 
@@ -133,8 +133,8 @@
         for team in &self.leader.settings.deployment.teams {
             self.teams.intern(&team.name);
             self.cluster.teams.push(TeamSnapshot {
-                guarantee: ResourceBounds::from_settings(team.cpus, team.gpus),
-                limit: ResourceBounds::from_settings(team.cpus_max, team.gpus_max),
+                guarantee: team.guarantee(),
+                limit: team.limit(),
                 ..TeamSnapshot::default()
             });
         }
--- a/crates/control/src/settings/deployment.rs
+++ b/crates/control/src/settings/deployment.rs
@@ -1,6 +1,7 @@
 //! The deployment as the platform's file describes it: teams, objectives, worker timings and limits.
 
 use super::StateLimits;
+use sched::ResourceBounds;
 use serde::Deserialize;
 
 /// The deployment section of the platform's file.
@@ -47,6 +48,18 @@
     pub gpus_max: f64,
 }
 
+impl Team {
+    /// Resources that the team may use with precedence over other teams.
+    pub(crate) fn guarantee(&self) -> ResourceBounds {
+        ResourceBounds::from_settings(self.cpus, self.gpus)
+    }
+
+    /// The most resources that the team may use.
+    pub(crate) fn limit(&self) -> ResourceBounds {
+        ResourceBounds::from_settings(self.cpus_max, self.gpus_max)
+    }
+}
+
 /// A service-level objective.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Objective {
